Read the true units that a good answer tells

Checked: the network code gave the module no units at all (driver.rs, attempt_ended), though answers carry X-True-Cost, so that quotas went by the guess for good. Remedy: servers.rs reads the header of a good answer; a figure that no request can have is none. Test: sockets.rs, the_quota_takes_the_true_units_that_an_answer_tells.

--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -17,7 +17,7 @@
 use crate::config::Config;
 use crate::discovery::{self, News, Sources};
 use crate::peers;
-use crate::servers::{self, Pool};
+use crate::servers::{self, End, Pool};
 
 /// Time in milliseconds: Unix time at the start, then the steady clock. Discovery's start times need no
 /// conversion, and a limiter that starts again never sees a moment twice.
@@ -327,7 +327,7 @@
 
     /// An attempt has ended; its connection is closed or back in the pool by now. An answer in time goes to
     /// the client; one for a request that is over is dropped, yet the module hears of the outcome.
-    pub fn ended(self: &Rc<Self>, id: RequestId, attempt: u32, outcome: Outcome, body: Option<Bytes>) {
+    pub fn ended(self: &Rc<Self>, id: RequestId, attempt: u32, end: End) {
         let mut guard = self.state.borrow_mut();
         let state = &mut *guard;
         let Some(out) = state.out.remove(&(id, attempt)) else { return };
@@ -336,14 +336,15 @@
             open.out = false;
             settled = false;
         }
-        if outcome == Outcome::Ok {
+        if end.outcome == Outcome::Ok {
             if let Some(open) = state.settle(id) {
                 settled = true;
-                let _ = open.answer.send(Answer::Served(body.unwrap_or_default()));
+                let _ = open.answer.send(Answer::Served(end.body.unwrap_or_default()));
             }
         }
         let took_ms = self.now() - out.sent;
-        state.events.push_back(attempt_ended(id, attempt, outcome, took_ms, settled));
+        let units = end.units;
+        state.events.push_back(attempt_ended(id, attempt, end.outcome, took_ms, settled, units));
         self.work(state);
     }
 
@@ -413,7 +414,7 @@
                 self.log(&format!("request {id}: a second attempt beside the first was not sent"));
             }
             let settled = false;
-            state.events.push_back(attempt_ended(id, attempt, Outcome::NotSent, 0.0, settled));
+            state.events.push_back(attempt_ended(id, attempt, Outcome::NotSent, 0.0, settled, None));
             return;
         }
         open.out = true;
@@ -479,8 +480,15 @@
     }
 }
 
-fn attempt_ended(id: RequestId, attempt: u32, outcome: Outcome, took_ms: f64, settled: bool) -> Event {
-    Event::AttemptEnded { id, attempt, outcome, took_ms, settled, units: None, load: Load::default() }
+fn attempt_ended(
+    id: RequestId,
+    attempt: u32,
+    outcome: Outcome,
+    took_ms: f64,
+    settled: bool,
+    units: Option<f64>,
+) -> Event {
+    Event::AttemptEnded { id, attempt, outcome, took_ms, settled, units, load: Load::default() }
 }
 
 /// Tells an attempt to close its connection and then to end as told.
--- a/marldeal/src/servers.rs
+++ b/marldeal/src/servers.rs
@@ -13,7 +13,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Body;
 use hyper::client::conn::http1::{self, Connection, SendRequest};
-use hyper::header::HeaderName;
+use hyper::header::{HeaderMap, HeaderName};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -24,6 +24,8 @@
 use crate::driver::{Content, Driver};
 
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
+/// True units of the request, with its first good answer.
+const TRUE_COST: HeaderName = HeaderName::from_static("x-true-cost");
 
 /// Errors of a connect that lie on this side: ENOMEM, ENFILE, EMFILE, EADDRNOTAVAIL, ENOBUFS.
 const OWN_FAULTS: [i32; 5] = [12, 23, 24, 99, 105];
@@ -46,6 +48,22 @@
     pub end: f64,
 }
 
+/// How an attempt ended.
+pub struct End {
+    /// For the module.
+    pub outcome: Outcome,
+    /// A good answer's body.
+    pub body: Option<Bytes>,
+    /// The true units that a good answer told.
+    pub units: Option<f64>,
+}
+
+impl From<Outcome> for End {
+    fn from(outcome: Outcome) -> End {
+        End { outcome, body: None, units: None }
+    }
+}
+
 /// A connection and what drives it. Nothing else does: dropping it closes the socket.
 struct Link {
     sender: SendRequest<Full<Bytes>>,
@@ -140,84 +158,94 @@
 /// Makes one attempt and reports its end. What is stopped closes its connection first: the `select` has
 /// dropped it when the module hears of the end, so that a request never has two attempts out.
 pub async fn attempt(driver: Rc<Driver>, job: Job, stopped: oneshot::Receiver<Outcome>) {
-    let (outcome, body) = tokio::select! {
+    let end = tokio::select! {
         biased;
-        Ok(how) = stopped => (how, None),
+        Ok(how) = stopped => how.into(),
         end = exchange(&driver, &job) => end,
     };
-    driver.ended(job.id, job.attempt, outcome, body);
+    driver.ended(job.id, job.attempt, end);
 }
 
-async fn exchange(driver: &Rc<Driver>, job: &Job) -> (Outcome, Option<Bytes>) {
-    let Some(addr) = driver.address(&job.server) else { return (Outcome::NotSent, None) };
+async fn exchange(driver: &Rc<Driver>, job: &Job) -> End {
+    let Some(addr) = driver.address(&job.server) else { return Outcome::NotSent.into() };
     let pooled = driver.pool.borrow_mut().take(&job.server);
     let mut link = match pooled {
         Some(link) => link,
         None => match connect(driver, addr).await {
             Ok(link) => link,
-            Err(outcome) => return (outcome, None),
+            Err(outcome) => return outcome.into(),
         },
     };
     // The wait for a connection may have outlived the server's readiness: nothing new goes to one that
     // drains.
     if driver.address(&job.server) != Some(addr) {
-        return (Outcome::NotSent, None);
+        return Outcome::NotSent.into();
     }
-    let Ok(request) = request(job, addr, job.end - driver.now()) else { return (Outcome::NotSent, None) };
+    let Ok(request) = request(job, addr, job.end - driver.now()) else { return Outcome::NotSent.into() };
     let Link { sender, connection, .. } = &mut link;
     let answer = async {
         let answer = match sender.try_send_request(request).await {
             Ok(answer) => answer,
             // A request that is given back was not written; of any other it is not known.
             Err(mut e) => match e.take_message() {
-                Some(_) => return (Outcome::NoConnection, None),
-                None => return (Outcome::Severed, None),
+                Some(_) => return Outcome::NoConnection.into(),
+                None => return Outcome::Severed.into(),
             },
         };
         let (head, mut body) = answer.into_parts();
         if body.size_hint().lower() > MOST_BODY as u64 {
-            return (Outcome::Severed, None);
+            return Outcome::Severed.into();
         }
         let mut whole = BytesMut::new();
         while let Some(frame) = body.frame().await {
-            let Ok(frame) = frame else { return (Outcome::Severed, None) };
+            let Ok(frame) = frame else { return Outcome::Severed.into() };
             if let Some(data) = frame.data_ref() {
                 if whole.len() + data.len() > MOST_BODY {
-                    return (Outcome::Severed, None);
+                    return Outcome::Severed.into();
                 }
                 whole.extend_from_slice(data);
             }
         }
         let unprocessed = head.headers.get(UNPROCESSED).is_some_and(|v| v == "1");
         match head.status {
-            StatusCode::OK => (Outcome::Ok, Some(whole.freeze())),
+            StatusCode::OK => End {
+                outcome: Outcome::Ok,
+                body: Some(whole.freeze()),
+                units: true_units(&head.headers, driver.config.most_units),
+            },
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => {
-                (Outcome::Full, None)
+                Outcome::Full.into()
             }
-            _ => (Outcome::Error, None),
+            _ => Outcome::Error.into(),
         }
     };
-    let (outcome, body, mut ended) = drive(answer, connection).await;
+    let (end, mut ended) = drive(answer, connection).await;
     // Only a connection whose answer was read to its end may serve again.
-    ended |= !matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full);
+    ended |= !matches!(end.outcome, Outcome::Ok | Outcome::Error | Outcome::Full);
     // Nor one of a server that takes nothing new by now: nobody would close it.
     if !ended && driver.address(&job.server) == Some(addr) && link.alive() {
         driver.pool.borrow_mut().put(&job.server, link);
     }
-    (outcome, body)
+    end
+}
+
+/// What a good answer says that the request really used; a figure that no request can have is none.
+fn true_units(headers: &HeaderMap, most: f64) -> Option<f64> {
+    let units = headers.get(TRUE_COST)?.to_str().ok()?.trim().parse::<f64>().ok()?;
+    (units > 0.0 && units <= most).then_some(units)
 }
 
 /// Waits for the answer while the connection works; tells also whether that has ended.
 async fn drive(
-    answer: impl Future<Output = (Outcome, Option<Bytes>)>,
+    answer: impl Future<Output = End>,
     connection: &mut Connection<TokioIo<TcpStream>, Full<Bytes>>,
-) -> (Outcome, Option<Bytes>, bool) {
+) -> (End, bool) {
     tokio::pin!(answer);
     let mut ended = false;
     loop {
         tokio::select! {
             biased;
-            (outcome, body) = &mut answer => return (outcome, body, ended),
+            end = &mut answer => return (end, ended),
             _ = &mut *connection, if !ended => ended = true,
         }
     }
--- a/marldeal/tests/sockets.rs
+++ b/marldeal/tests/sockets.rs
@@ -586,6 +586,27 @@
     }
 }
 
+/// A request comes with a guess; the quota takes what the server's good answer tells. A figure that no request can
+/// have leaves the guess. The plan here gives 2 units at once; 4 true ones leave it
+/// owing for 12 s.
+#[test]
+fn the_quota_takes_the_true_units_that_an_answer_tells() {
+    let told = [("4", 1), ("1.0", 2), ("many", 2), ("-2", 2), ("NaN", 2), ("1e9", 2), ("", 2)];
+    for (units, served) in told {
+        let server = Stub::new(move |_, stream| {
+            write!(stream, "HTTP/1.1 200 OK\r\nX-True-Cost: {units}\r\nContent-Length: 0\r\n\r\n").is_ok()
+        });
+        let node = Node::with(&[("s-1", &server, "active")], |c| {
+            c.replace(r#""Rate":0,"StoreSize":0"#, r#""Rate":0.25,"StoreSize":2"#)
+                .replace(r#""MailPerS":60"#, r#""MailPerS":60,"UnitsTop":4"#)
+        });
+        for n in 0..2 {
+            let expected = if n < served { 200 } else { 429 };
+            assert_eq!(ask(&node, &get("look", "")).status, expected, "request {n}, told '{units}'");
+        }
+    }
+}
+
 /// A server that takes 0.3 s, and a client whose request stands there.
 fn with_one_open() -> (Stub, Node, TcpStream) {
     let server = Stub::new(|_, stream| {
