Give no member of a large set a free request: its part holds none

Checked: requests printed with their sets: sets count 50 to 99 limiters there (2 to 4 before), so an even part is a tenth of one request. Cause: policy.rs, customer() and spend(): the even store started with and held a whole request, at each of up to 99 members, and was spent without asking: 99 requests beside a burst of 4 to 10. Remedy: a part that holds no whole request asks the keeper; with all keepers silent its level is the chance of one request, so that all members together spend about the quota. Tests: fleet.rs, 100 limiters; the test rigs draw from seeds of their own.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -521,7 +521,8 @@
         let whole = self.settings.plans[request.plan].burst;
         let burst = whole / f64::from(request.spread);
         self.customers.entry(request.customer).or_insert_with(|| {
-            let even = Store { level: burst.max(request.units), at: now };
+            // Not a whole request's units: each of a hundred members would give them away once more.
+            let even = Store { level: burst, at: now };
             let (told_at, room) = (f64::NEG_INFINITY, whole);
             Customer { even, told: 0.0, told_at, room, unasked: 0.0, seen: now }
         })
@@ -556,7 +557,8 @@
         let (part, least) = (f64::from(request.spread).recip(), plan.burst * ROOM_PART);
         let Some(c) = self.customers.get_mut(&request.customer) else { return };
         c.even.fill(now, plan.rate * part, (plan.burst * part).max(units));
-        let room = c.even.level >= units && c.room - units >= least;
+        // A part that holds no whole request belongs to no member: the keeper's store decides.
+        let room = plan.burst * part >= units && c.even.level >= units && c.room - units >= least;
         let mut line = self.ask_of(&request);
         if !room || (ceiled && !self.judge(me, self.incarnation, &line).is_some_and(|word| word.granted)) {
             // Refused here: should the first keeper be silent, this one is asked again.
@@ -658,9 +660,10 @@
         }
     }
 
-    /// No keeper answers: the even part of rate and burst, one request at least; under a cap on attempts out
-    /// alone, its even part in the time of one aim. Nobody but the keepers owns a part of a ceiling, so that
-    /// such a customer is refused.
+    /// No keeper answers: the even part of rate and burst; under a cap on attempts out alone, its even part in
+    /// the time of one aim. Where the part holds no whole request, what it holds is the chance of one: all
+    /// members together then spend the quota. Nobody but the keepers owns a part of a ceiling, so that such a
+    /// customer is refused.
     fn by_even_part(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let (request, units) = (&open.request, open.request.units);
@@ -671,10 +674,12 @@
         let rate = if plan.rate > 0.0 { plan.rate } else { most / aim_s };
         let part = f64::from(request.spread).recip();
         c.even.fill(self.now, rate * part, (most * part).max(units));
-        if plan.ceiling_rate > 0.0 || c.even.level < units {
+        let chance = if most * part < units { c.even.level / units } else { 0.0 };
+        let spends = c.even.level >= units || self.rng.f64() < chance;
+        c.even.level = if spends || chance > 0.0 { (c.even.level - units).max(0.0) } else { c.even.level };
+        if plan.ceiling_rate > 0.0 || !spends {
             return self.end(id, out);
         }
-        c.even.level -= units;
         open.let_in = self.now;
         self.dispatch(id, out);
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -81,7 +81,8 @@
 impl Rig {
     pub fn new(settings: Settings, servers: u32) -> Self {
         let now = 100_000.0;
-        let limiter = Limiter::new(settings, 1, now).expect("legal settings");
+        let seed = 1 + u64::from(settings.position);
+        let limiter = Limiter::new(settings, seed, now).expect("legal settings");
         let mut rig = Rig { limiter, now, wakes: Vec::new() };
         rig.list(true, (0..servers).map(entry).collect());
         rig
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,102 @@
+//! What is harmless at one limiter must be harmless at a hundred: claims about the whole fleet, with limiters
+//! that share servers and customers and whose messages are late and lost.
+
+mod common;
+
+use common::*;
+use fawnhill::*;
+
+const LIMITERS: u32 = 100;
+
+/// A fleet before servers that answer after a fixed time, and its count of units sent on.
+struct Fleet {
+    net: Net,
+    rng: fastrand::Rng,
+    /// Answers under way: when, limiter, request, attempt.
+    answers: Vec<(Millis, usize, RequestId, u32)>,
+    next: RequestId,
+    sent: u32,
+}
+
+impl Fleet {
+    fn new(servers: u32, seed: u64) -> Fleet {
+        let all = (0..LIMITERS).map(|p| Settings { limiters: LIMITERS, ..settings(p) }).collect();
+        let (net, rng) = (Net::new(all, servers, seed), fastrand::Rng::with_seed(seed));
+        Fleet { net, rng, answers: Vec::new(), next: 0, sent: 0 }
+    }
+
+    fn take(&mut self, limiter: usize, actions: Vec<Action>) {
+        for a in actions {
+            if let Action::Send { id, .. } = a {
+                self.sent += 1;
+                self.answers.push((self.net.now + 100.0, limiter, id, 0));
+            }
+        }
+    }
+
+    /// Requests of one unit, evenly spaced and each at a member drawn anew; units sent on.
+    fn play(&mut self, per_s: f64, seconds: f64, request: impl Fn(RequestId) -> Request) -> u32 {
+        let (before, end) = (self.sent, self.net.now + 1000.0 * seconds);
+        let mut due = self.net.now;
+        while self.net.now < end {
+            while due <= self.net.now {
+                due += 1000.0 / per_s;
+                self.next += 1;
+                let r = request(self.next);
+                let at = (r.first + self.rng.u32(0..r.spread)) % LIMITERS;
+                let actions = self.net.give(at as usize, Event::Request(r));
+                self.take(at as usize, actions);
+            }
+            for (limiter, action) in self.net.pass(8.0) {
+                self.take(limiter, vec![action]);
+            }
+            let now = self.net.now;
+            let (over, open) = std::mem::take(&mut self.answers).into_iter().partition(|a| a.0 <= now);
+            self.answers = open;
+            let over: Vec<_> = over;
+            for (_, limiter, id, attempt) in over {
+                let (outcome, load) = (Outcome::Ok, Load::default());
+                let ended = Event::AttemptEnded {
+                    id,
+                    attempt,
+                    outcome,
+                    took_ms: 100.0,
+                    settled: true,
+                    units: None,
+                    load,
+                };
+                let actions = self.net.give(limiter, ended);
+                self.take(limiter, actions);
+            }
+        }
+        self.sent - before
+    }
+}
+
+/// A customer of 80 limiters, at the plan of 6 units a second and 12 at once.
+fn wide(id: RequestId) -> Request {
+    Request { spread: 80, first: 35, ..request(id, SAFE, RATED) }
+}
+
+/// Guards against a gift for each member: what one limiter lets through without asking, eighty do.
+#[test]
+fn a_quota_holds_over_a_set_of_eighty() {
+    let mut fleet = Fleet::new(20, 1);
+    fleet.net.loss = 0.05;
+    let quota = 12.0 + 6.0 * 8.0;
+    let sent = f64::from(fleet.play(30.0, 8.0, wide));
+    assert!(sent <= 1.15 * quota, "{sent} units sent on, {quota} allowed");
+    assert!(sent >= 0.85 * quota, "{sent} units sent on of {quota}: the quota is wasted");
+}
+
+/// Without a word from any keeper the members still spend about the quota together, neither each its own
+/// request nor nothing.
+#[test]
+fn eighty_members_without_keepers_spend_about_the_quota() {
+    let mut fleet = Fleet::new(20, 2);
+    fleet.net.loss = 1.0;
+    let quota = 12.0 + 6.0 * 12.0;
+    let sent = f64::from(fleet.play(30.0, 12.0, wide));
+    assert!(sent <= 1.25 * quota, "{sent} units sent on, {quota} allowed");
+    assert!(sent >= 0.6 * quota, "{sent} units sent on of {quota}: the quota is wasted");
+}
