Come back to discovery with backoff and full jitter, scaled to the fleet

Checked: logs of all limiters. Watches break for 60 limiters at one moment (2.4 s) and all came back 50 ms later and each second from then on; a call takes 2 s to fail when the line is long, so that discovery worked on calls that nobody waited for. Ruled out: a discovery that is down, as single calls got through before the release. Cause: discovery.rs, keep(): a backoff of 1 s at most without jitter, whatever the size of the fleet. Remedy: full jitter over 20 ms for each limiter at first and 100 ms at most, as before for a few. Test: discovery.rs, a_fleet_comes_back_to_discovery_spread_out.

--- a/marldeal/src/discovery.rs
+++ b/marldeal/src/discovery.rs
@@ -20,8 +20,11 @@
 
 /// Beats come every 2 s; after two missed ones the watch counts as broken.
 const SILENCE: Duration = Duration::from_millis(4500);
-/// Shortest and longest wait before the next watch.
+/// Bounds of the first wait before the next watch, and of the longest: for a few limiters, and for each limiter
+/// of a fleet. One discovery serves all: when it drops or fails all at once and they come back in step, each call
+/// waits behind calls that nobody waits for any more, and no watch is ever begun.
 const BACK_OFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(1000));
+const BACK_OFF_EACH: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(100));
 /// Longest line taken in.
 const MOST_LINE: usize = 4 << 20;
 
@@ -140,17 +143,40 @@
     }
 }
 
+/// Exponential backoff with full jitter.
+struct BackOff {
+    first: Duration,
+    longest: Duration,
+    wait: Duration,
+    rng: fastrand::Rng,
+}
+
+impl BackOff {
+    fn new(limiters: u32, seed: u64) -> BackOff {
+        let first = BACK_OFF.0.max(BACK_OFF_EACH.0 * limiters);
+        let longest = BACK_OFF.1.max(BACK_OFF_EACH.1 * limiters);
+        BackOff { first, longest, wait: first, rng: fastrand::Rng::with_seed(seed) }
+    }
+
+    /// The wait after a watch that told something, or that did not.
+    fn next(&mut self, told: bool) -> Duration {
+        self.wait = if told { self.first } else { (self.wait * 2).min(self.longest) };
+        self.wait.mul_f64(self.rng.f64())
+    }
+}
+
 /// Keeps one source watched; a watch that ends, breaks or falls silent is begun anew from the last version,
 /// unless there is a newer source by then.
 async fn keep(driver: Rc<Driver>, mut source: Source) {
-    let mut wait = BACK_OFF.0;
+    let seed = driver.config.seed ^ u64::from(source.number);
+    let mut back_off = BackOff::new(driver.config.settings.limiters, seed);
     loop {
         let before = source.version;
         let why = follow(&driver, &mut source).await;
         if driver.sources.newest.get() != source.number {
             return driver.log(&format!("discovery: {why}; {} is watched no more", source.addr));
         }
-        wait = if source.version == before { (wait * 2).min(BACK_OFF.1) } else { BACK_OFF.0 };
+        let wait = back_off.next(source.version != before);
         driver.log(&format!("discovery: {why}; watching again"));
         tokio::select! {
             () = tokio::time::sleep(wait) => {}
@@ -239,3 +265,42 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The most calls of a fleet that fall into one second, when discovery drops all watches at once and then
+    /// answers nobody.
+    fn most_calls_in_a_second(limiters: u32) -> usize {
+        let mut calls = Vec::new();
+        for limiter in 0..limiters {
+            let mut back_off = BackOff::new(limiters, u64::from(limiter));
+            let mut at = back_off.next(true);
+            while at < Duration::from_secs(20) {
+                calls.push(at);
+                at += back_off.next(false).max(Duration::from_millis(1));
+            }
+        }
+        let second = Duration::from_secs(1);
+        let within = |from: &Duration| calls.iter().filter(|c| **c >= *from && **c < *from + second).count();
+        calls.iter().map(within).max().unwrap_or(0)
+    }
+
+    /// Guards against a discovery that is kept overbooked by those it has failed.
+    #[test]
+    fn a_fleet_comes_back_to_discovery_spread_out() {
+        let most = most_calls_in_a_second(100);
+        assert!(
+            (10..=75).contains(&most),
+            "{most} calls in one second of 100 limiters that were dropped at once"
+        );
+    }
+
+    #[test]
+    fn a_few_limiters_come_back_soon() {
+        let mut back_off = BackOff::new(4, 1);
+        assert!(back_off.next(true) <= Duration::from_millis(80));
+        assert!((0..20).all(|_| back_off.next(false) <= Duration::from_secs(1)));
+    }
+}
