Count the pace of sends over the time since the start

Checked: 100 fresh limiters before 24 warm and 36 half warm servers send 124 of 599 requests to the latter after a second, 248 with the remedy. Cause: policy.rs, step(): the rate over 5 s is a fifth of the true one after a second. Test: fleet.rs, limiters_that_have_just_started_use_cold_servers (fails at 124).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -454,7 +454,9 @@
         // One that drains takes no share of the sends: counted in, it would slow the start of its successors.
         let warm = |s: &&Server| s.cold_from.is_none() && s.entry.condition == Condition::Serving;
         let warm = self.servers.values().filter(warm).count();
-        self.pace = self.sends.rate(self.now) / warm.max(1) as f64;
+        // Over the time since the start: a limiter that has just started would hold cold servers back for seconds.
+        let seen = 1.0 - (-(self.now - self.born).max(5.0 * STEP_MS) / PACE_MS).exp();
+        self.pace = self.sends.rate(self.now) / seen / warm.max(1) as f64;
         self.set_bounds();
         self.feedback();
         self.pump(out);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -147,3 +147,16 @@
     let to_cold = fleet.sends_to(now, |n| n >= 100);
     assert!(to_cold * 4 >= all, "{to_cold} of {all} sends to 36 servers that are half warm");
 }
+
+/// Limiters that have just started, as most do in a release, warm cold servers from their first seconds on.
+#[test]
+fn limiters_that_have_just_started_use_cold_servers() {
+    let mut fleet = Fleet::new(24, 4);
+    let started = fleet.net.now - 5000.0;
+    fleet.list((100..136).map(|n| ServerEntry { started, ..entry(n) }).collect());
+    fleet.play(400.0, 1.0, free);
+    let now = fleet.net.now;
+    let all = fleet.play(400.0, 1.5, free) as usize;
+    let to_cold = fleet.sends_to(now, |n| n >= 100);
+    assert!(to_cold * 10 >= all * 3, "{to_cold} of {all} sends to 36 servers that are half warm");
+}
