--- a/src/policy.rs
+++ b/src/policy.rs
@@ -76,8 +76,8 @@
 // Attempts.
 /// Weight of the newest latency in the usual one of all servers.
 const NEWEST_USUAL: f64 = 0.05;
-/// An attempt is silent at the earliest after so many times the server's usual latency, and after this share of
-/// the aim.
+/// An attempt is silent at the earliest after so many times the server's usual latency, and after this share
+/// of the aim.
 const SLOW_TIMES: f64 = 6.0;
 const CHECK_PART: f64 = 0.4;
 /// Retries that each first attempt pays for, and most that can be saved up.
@@ -454,7 +454,7 @@
         // One that drains takes no share of the sends: counted in, it would slow the start of its successors.
         let warm = |s: &&Server| s.cold_from.is_none() && s.entry.condition == Condition::Serving;
         let warm = self.servers.values().filter(warm).count();
-        // Over the time since the start: a limiter that has just started would hold cold servers back for seconds.
+        // Over the time since the start: else cold servers wait for seconds on one that has just started.
         let seen = 1.0 - (-(self.now - self.born).max(5.0 * STEP_MS) / PACE_MS).exp();
         self.pace = self.sends.rate(self.now) / seen / warm.max(1) as f64;
         self.set_bounds();
@@ -644,8 +644,8 @@
         }
     }
 
-    /// No keeper answers: the even part of rate and burst; under a cap on attempts out alone, its even part in
-    /// the time of one aim. Where the part holds no whole request, what it holds is the chance of one: all
+    /// No keeper answers: the even part of rate and burst; under a cap on attempts out alone, its even part
+    /// in the time of one aim. Where the part holds no whole request, what it holds is the chance of one: all
     /// members together then spend the quota. Nobody but the keepers owns a part of a ceiling, so that such a
     /// customer is refused.
     fn by_even_part(&mut self, id: RequestId, out: &mut Vec<Action>) {
--- a/src/servers.rs
+++ b/src/servers.rs
@@ -23,7 +23,7 @@
 /// push it over in one moment, and each would pay for a connection.
 const WARMERS: f64 = 12.0;
 /// Where lots are drawn, a cold server may be sent this many times its least part of a warm one's pace: those
-/// drawn use only some of it, and most servers can do more than the least. The fall multiple's half bounds it.
+/// drawn use only some of it, and most servers can do more than the least. Half the fall multiple bounds it.
 const COLD_TIMES: f64 = 1.6;
 
 // Health.
@@ -53,8 +53,8 @@
             let s = self.servers.entry(e.server.clone()).or_insert_with(fresh);
             if cold && s.cold_from.is_none_or(|from| from < e.started) {
                 s.cold_from = Some(e.started);
-                // All are told at once: those drawn start somewhere between none and one, so that they come one
-                // after the other, and the others never get to one.
+                // All are told at once: those drawn start somewhere between none and one, so that they come
+                // one after the other, and the others never get to one.
                 let drawn = self.rng.f64() < WARMERS / f64::from(self.settings.limiters);
                 let level = if drawn { self.rng.f64() } else { f64::NEG_INFINITY };
                 s.cold = Store { level, at: now };
