Call the agent again at once, and send nothing before it has spoken

A probe that logged calls showed that the agent takes calls while it is down, answers them at the moment of its return, and a call made then at once: all the time lost was the limiter's own wait.

Ruled out: the check before the first byte (servers.rs asks for the address again after connecting) and the parsing of the list (limiters whose call was open at the return took the word at once).

At fault: BackOff in discovery.rs, scaled by the number of limiters and doubled after each failure, and SILENCE of 4.5 s for the answer to a call. The settings decide now: pushed lists are called for again at once, asked ones are spread as before, but never over more than the clock for silence allows.

With it, from reading: a restarted process sent by the list it was given before the agent had spoken; indented lists ended the watch; a change that cannot be read was asked for again for ever; one unreadable figure cost the entry, also that a server leaves; a SIGHUP before the first watch opened two; connections to a process that has started again since were kept.

--- a/marldeal/src/discovery.rs
+++ b/marldeal/src/discovery.rs
@@ -5,58 +5,75 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use fawnhill::{Condition, ServerEntry};
+use bytes::{Buf, Bytes, BytesMut};
+use fawnhill::{Condition, ServerEntry, ServerId, Settings};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
+use serde_json::Value;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at, Instant};
 
 use crate::driver::Driver;
 
-/// Beats come every 2 s; after two missed ones the watch counts as broken.
-const SILENCE: Duration = Duration::from_millis(4500);
-/// Bounds of the first wait before the next watch, and of the longest: for a few limiters, and for each limiter
-/// of a fleet. One discovery serves all: when it drops or fails all at once and they come back in step, each call
-/// waits behind calls that nobody waits for any more, and no watch is ever begun.
-const BACK_OFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(1000));
-const BACK_OFF_EACH: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(100));
-/// Longest line taken in.
-const MOST_LINE: usize = 4 << 20;
+/// Beats come every 2 s. What a silent watch misses counts as told 6 s after it fell silent: it is given up soon
+/// enough for that, the longest wait of `ASKED` and an answer.
+const SILENCE: Duration = Duration::from_millis(2500);
+/// Longest list or change taken in.
+const MOST_OBJECT: usize = 1 << 20;
 
-/// A list of servers or of changes to it.
-#[derive(Deserialize, Clone)]
-pub struct List {
-    version: u64,
-    #[serde(default)]
-    full: bool,
-    servers: Vec<serde_json::Value>,
+/// How discovery is called.
+#[derive(Clone, Copy)]
+struct Manner {
+    /// Longest wait for the head of an answer.
+    answer: Duration,
+    /// Bounds of the wait after a call, the first time and at the longest.
+    wait: (Duration, Duration),
+    /// A call that was waited for in vain needs no further wait.
+    at_once: bool,
 }
 
-impl List {
-    /// Counts as the whole list, as what a start finds does.
-    pub fn set_whole(&mut self) {
-        self.full = true;
+/// Where lists are pushed, an agent on this machine answers at once and at no cost, and what it has counts as told:
+/// no time without a watch may be longer than the rules allow sends to a server that drains, 250 ms.
+const PUSHED: Manner = Manner {
+    answer: Duration::from_millis(200),
+    wait: (Duration::from_millis(25), Duration::from_millis(50)),
+    at_once: true,
+};
+/// Where they are asked for: for a few limiters, and the parts of the waits for each limiter of a fleet. One
+/// discovery serves all: when it drops or fails all at once and they come back in step, each call waits behind calls
+/// that nobody waits for any more, and no watch is ever begun.
+const ASKED: Manner = Manner {
+    answer: Duration::from_millis(4500),
+    wait: (Duration::from_millis(50), Duration::from_millis(1000)),
+    at_once: false,
+};
+const ASKED_EACH: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(100));
+/// The longest that these grow to: the first for the clock of `SILENCE`, the other for the settings' time after which
+/// one that does not ask counts as told.
+const ASKED_MOST: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(10));
+
+impl Manner {
+    fn of(settings: &Settings) -> Manner {
+        if !settings.must_subscribe {
+            return PUSHED;
+        }
+        let first = ASKED.wait.0.max(ASKED_EACH.0 * settings.limiters).min(ASKED_MOST.0);
+        let longest = ASKED.wait.1.max(ASKED_EACH.1 * settings.limiters).min(ASKED_MOST.1);
+        Manner { wait: (first, longest), ..ASKED }
     }
 }
 
-/// One server of a list.
+/// A list of servers or of changes to it.
 #[derive(Deserialize, Clone)]
-struct Line {
-    id: String,
-    addr: SocketAddr,
-    #[serde(default)]
-    zone: String,
-    #[serde(default)]
-    cell: u32,
-    state: String,
-    weight: Option<f64>,
+pub struct List {
+    version: u64,
     #[serde(default)]
-    started_ms: f64,
+    full: bool,
+    servers: Vec<Value>,
 }
 
 /// A list in the module's terms, with the servers' addresses.
@@ -67,33 +84,56 @@
     pub entries: Vec<(ServerEntry, SocketAddr)>,
 }
 
-/// A list in the module's terms. The module's clock counts Unix time, so that starts need no conversion.
+impl News {
+    /// The list that these changes make of another.
+    pub fn after(self, before: News) -> News {
+        if self.whole {
+            return self;
+        }
+        let changed = |id: &ServerId| self.entries.iter().any(|(e, _)| e.server == *id);
+        let mut entries: Vec<_> = before.entries.into_iter().filter(|(e, _)| !changed(&e.server)).collect();
+        entries.extend(self.entries.into_iter().filter(|(e, _)| e.condition != Condition::Gone));
+        News { whole: true, entries }
+    }
+}
+
+/// A list in the module's terms. One entry that makes no sense does not cost the others.
 pub fn news(list: List, driver: &Driver) -> News {
-    let entry = |value: serde_json::Value| {
-        // One entry that makes no sense must not cost the others.
-        let line: Line = match serde_json::from_value(value) {
-            Ok(line) => line,
-            Err(e) => {
-                driver.log(&format!("discovery: an entry was passed over: {e}"));
-                return None;
-            }
-        };
-        let entry = ServerEntry {
-            server: line.id.into(),
-            // A zone that the settings do not name is no limiter's own.
-            zone: driver.config.names.zone(&line.zone).unwrap_or(u32::MAX),
-            cell: line.cell,
-            condition: match line.state.as_str() {
-                "active" => Condition::Serving,
-                "left" => Condition::Gone,
-                _ => Condition::Draining,
-            },
-            weight: line.weight.filter(|w| w.is_finite()).unwrap_or(1.0),
-            started: line.started_ms,
-        };
-        Some((entry, line.addr))
+    let entry = |value: &Value| {
+        let entry = entry(value, |zone| driver.config.names.zone(zone).ok());
+        if entry.is_none() {
+            driver.log("discovery: an entry that makes no sense was passed over");
+        }
+        entry
+    };
+    News { whole: list.full, entries: list.servers.iter().filter_map(entry).collect() }
+}
+
+/// One server. The module's clock counts Unix time, so that starts need no conversion. A figure that cannot be read
+/// is one that is not told; without its name or state an entry says nothing, nor does a server that takes requests
+/// nobody knows where. That one leaves is heard in any case.
+fn entry(value: &Value, zone: impl Fn(&str) -> Option<u32>) -> Option<(ServerEntry, SocketAddr)> {
+    let text = |name: &str| value.get(name).and_then(Value::as_str);
+    let figure = |name: &str| value.get(name).and_then(Value::as_f64);
+    let condition = match text("state")? {
+        "active" => Condition::Serving,
+        "left" => Condition::Gone,
+        _ => Condition::Draining,
+    };
+    let addr = match text("addr").and_then(|a| a.parse().ok()) {
+        None if condition != Condition::Serving => SocketAddr::from(([0, 0, 0, 0], 0)),
+        addr => addr?,
     };
-    News { whole: list.full, entries: list.servers.into_iter().filter_map(entry).collect() }
+    let entry = ServerEntry {
+        server: text("id")?.into(),
+        // A zone that the settings do not name is no limiter's own.
+        zone: text("zone").and_then(zone).unwrap_or(u32::MAX),
+        cell: value.get("cell").and_then(Value::as_u64).and_then(|c| u32::try_from(c).ok()).unwrap_or(0),
+        condition,
+        weight: figure("weight").unwrap_or(1.0),
+        started: figure("started_ms").unwrap_or(0.0),
+    };
+    Some((entry, addr))
 }
 
 /// Where discovery is. A reload may name another place; each place is a source with a number of its own.
@@ -134,62 +174,85 @@
 /// not heard.
 pub async fn watch(driver: Rc<Driver>) {
     let mut version = driver.config.known.as_ref().map(|known| known.version);
+    let mut newest = None;
     loop {
         let sources = &driver.sources;
-        let source =
-            Source { addr: sources.addr.get(), number: sources.newest.get(), version: version.take() };
-        tokio::task::spawn_local(keep(driver.clone(), source));
+        let number = sources.newest.get();
+        // A turn that came before the first watch has left its word behind: one source, one watch.
+        if newest.replace(number) != Some(number) {
+            let source = Source { addr: sources.addr.get(), number, version: version.take() };
+            tokio::task::spawn_local(keep(driver.clone(), source));
+        }
         sources.turned.notified().await;
     }
 }
 
 /// Exponential backoff with full jitter.
 struct BackOff {
-    first: Duration,
-    longest: Duration,
+    manner: Manner,
     wait: Duration,
     rng: fastrand::Rng,
 }
 
 impl BackOff {
-    fn new(limiters: u32, seed: u64) -> BackOff {
-        let first = BACK_OFF.0.max(BACK_OFF_EACH.0 * limiters);
-        let longest = BACK_OFF.1.max(BACK_OFF_EACH.1 * limiters);
-        BackOff { first, longest, wait: first, rng: fastrand::Rng::with_seed(seed) }
+    fn new(manner: Manner, seed: u64) -> BackOff {
+        BackOff { manner, wait: manner.wait.0, rng: fastrand::Rng::with_seed(seed) }
     }
 
     /// The wait after a watch that told something, or that did not.
     fn next(&mut self, told: bool) -> Duration {
-        self.wait = if told { self.first } else { (self.wait * 2).min(self.longest) };
+        let (first, longest) = self.manner.wait;
+        self.wait = if told { first } else { (self.wait * 2).min(longest) };
         self.wait.mul_f64(self.rng.f64())
     }
 }
 
+/// Why a watch has ended.
+#[derive(Debug, PartialEq)]
+enum End {
+    /// It told nothing for too long.
+    Silent,
+    /// What it told cannot be read.
+    Bad(String),
+    /// Anything else.
+    Broken(String),
+}
+
 /// Keeps one source watched; a watch that ends, breaks or falls silent is begun anew from the last version,
 /// unless there is a newer source by then.
 async fn keep(driver: Rc<Driver>, mut source: Source) {
     let seed = driver.config.seed ^ u64::from(source.number);
-    let mut back_off = BackOff::new(driver.config.settings.limiters, seed);
+    let manner = Manner::of(&driver.config.settings);
+    let mut back_off = BackOff::new(manner, seed);
+    let mut last = None;
     loop {
         let before = source.version;
-        let why = follow(&driver, &mut source).await;
+        let why = follow(&driver, manner, &mut source).await;
         if driver.sources.newest.get() != source.number {
-            return driver.log(&format!("discovery: {why}; {} is watched no more", source.addr));
+            return driver.log(&format!("discovery: {why:?}; {} is watched no more", source.addr));
+        }
+        let told = source.version != before;
+        let again = matches!(why, End::Bad(_)) && !told;
+        let wait = back_off.next(told);
+        let wait = if manner.at_once && why == End::Silent { Duration::ZERO } else { wait };
+        // One that fails in the same way many times a second is told of once.
+        if told || last.as_ref() != Some(&why) {
+            driver.log(&format!("discovery: {why:?}; watching again"));
         }
-        let wait = back_off.next(source.version != before);
-        driver.log(&format!("discovery: {why}; watching again"));
+        last = Some(why);
         tokio::select! {
             () = tokio::time::sleep(wait) => {}
             () = driver.list_wanted.notified() => {}
         }
-        if driver.take_whole_wanted() {
+        // What cannot be read from the last version on may be read whole.
+        if driver.take_whole_wanted() || again {
             source.version = None;
         }
     }
 }
 
 /// One watch, until it ends; says why.
-async fn follow(driver: &Rc<Driver>, source: &mut Source) -> String {
+async fn follow(driver: &Rc<Driver>, manner: Manner, source: &mut Source) -> End {
     let connect = async {
         let stream = TcpStream::connect(source.addr).await.map_err(|e| e.to_string())?;
         let (mut sender, connection) =
@@ -209,10 +272,10 @@
         }
         Ok((task, answer.into_body()))
     };
-    match timeout(SILENCE, connect).await {
+    match timeout(manner.answer, connect).await {
         Ok(Ok((_task, body))) => read(driver, body, source).await,
-        Ok(Err(why)) => why,
-        Err(_) => "no answer".to_string(),
+        Ok(Err(why)) => End::Broken(why),
+        Err(_) => End::Silent,
     }
 }
 
@@ -224,58 +287,141 @@
     }
 }
 
-async fn read(driver: &Rc<Driver>, mut body: Incoming, source: &mut Source) -> String {
-    let mut buffer = BytesMut::new();
+/// Reads what a watch tells. A beat within a list that goes no further is no sign of life.
+async fn read(driver: &Rc<Driver>, mut body: Incoming, source: &mut Source) -> End {
+    let mut objects = Objects::default();
+    let mut end = Instant::now() + SILENCE;
     loop {
         let frame = tokio::select! {
-            frame = timeout(SILENCE, body.frame()) => frame,
-            () = driver.list_wanted.notified() => return "asked for anew".to_string(),
+            frame = timeout_at(end, body.frame()) => frame,
+            () = driver.list_wanted.notified() => return End::Broken("asked for anew".to_string()),
         };
         let frame = match frame {
-            Err(_) => return "silent".to_string(),
-            Ok(None) => return "ended".to_string(),
-            Ok(Some(Err(e))) => return e.to_string(),
+            Err(_) => return End::Silent,
+            Ok(None) => return End::Broken("ended".to_string()),
+            Ok(Some(Err(e))) => return End::Broken(e.to_string()),
             Ok(Some(Ok(frame))) => frame,
         };
         if driver.sources.told.get() > source.number {
-            return "another source speaks".to_string();
+            return End::Broken("another source speaks".to_string());
         }
         let Some(data) = frame.data_ref() else { continue };
-        // A chunk may end within a line: what is left waits for the rest.
-        let mut from = buffer.len();
-        buffer.extend_from_slice(data);
-        while let Some(end) = buffer[from..].iter().position(|b| *b == b'\n') {
-            let line = buffer.split_to(from + end + 1);
-            from = 0;
-            if line.iter().all(u8::is_ascii_whitespace) {
-                continue;
-            }
-            match serde_json::from_slice::<List>(&line) {
+        objects.push(data);
+        loop {
+            let list = match objects.next() {
+                Ok(Some(object)) => serde_json::from_slice::<List>(&object).map_err(|e| e.to_string()),
+                Ok(None) => break,
+                Err(why) => Err(why.to_string()),
+            };
+            match list {
                 Ok(list) => {
                     source.version = Some(list.version);
                     driver.sources.told.set(source.number);
                     driver.servers(news(list, driver));
+                    end = Instant::now() + SILENCE;
                 }
-                // What the line held is missing from now on: the watch begins anew where it was still whole.
-                Err(e) => return format!("bad line: {e}"),
+                // What it held is missing from now on: the watch begins anew where it was still whole.
+                Err(why) => return End::Bad(why),
             }
         }
-        if buffer.len() > MOST_LINE {
-            return "line too long".to_string();
+        if objects.between() {
+            end = Instant::now() + SILENCE;
         }
     }
 }
 
+/// Cuts a stream of JSON objects apart, however they are laid out and wherever their chunks end.
+#[derive(Default)]
+struct Objects {
+    buffer: BytesMut,
+    /// Bytes of the buffer that were looked at.
+    seen: usize,
+    depth: u32,
+    in_string: bool,
+    escaped: bool,
+}
+
+impl Objects {
+    fn push(&mut self, data: &[u8]) {
+        self.buffer.extend_from_slice(data);
+    }
+
+    /// No object has begun that is not whole.
+    fn between(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
+    /// The next whole object, if it has come.
+    fn next(&mut self) -> Result<Option<BytesMut>, &'static str> {
+        if self.depth == 0 {
+            let blank = self.buffer.iter().take_while(|b| b.is_ascii_whitespace()).count();
+            self.buffer.advance(blank);
+            if self.buffer.first().is_some_and(|b| *b != b'{') {
+                return Err("no object");
+            }
+        }
+        while let Some(byte) = self.buffer.get(self.seen) {
+            self.seen += 1;
+            match byte {
+                _ if self.escaped => self.escaped = false,
+                b'\\' if self.in_string => self.escaped = true,
+                b'"' => self.in_string = !self.in_string,
+                _ if self.in_string => {}
+                b'{' | b'[' => self.depth += 1,
+                b'}' | b']' => {
+                    self.depth -= 1;
+                    if self.depth == 0 {
+                        return Ok(Some(self.buffer.split_to(std::mem::take(&mut self.seen))));
+                    }
+                }
+                _ => {}
+            }
+        }
+        if self.buffer.len() > MOST_OBJECT {
+            return Err("object too long");
+        }
+        Ok(None)
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
 
+    /// How discovery is asked by one of so many limiters.
+    fn asked(limiters: u32) -> Manner {
+        Manner::of(&Settings { must_subscribe: true, limiters, ..fleet_settings() })
+    }
+
+    fn fleet_settings() -> Settings {
+        Settings {
+            limiters: 300,
+            position: 0,
+            zone: 0,
+            classes: Vec::new(),
+            plans: Vec::new(),
+            round_ms: 1.0,
+            max_attempts: 1,
+            connect_timeout_ms: 250.0,
+            may_probe: false,
+            may_tell: false,
+            may_cancel: true,
+            may_advise: false,
+            messages_per_s: 0.0,
+            must_subscribe: false,
+            cold_share: 0.2,
+            cold_ms: 10_000.0,
+            fall_multiple: 3.0,
+            fall_ms: 2000.0,
+        }
+    }
+
     /// The most calls of a fleet that fall into one second, when discovery drops all watches at once and then
     /// answers nobody.
     fn most_calls_in_a_second(limiters: u32) -> usize {
         let mut calls = Vec::new();
         for limiter in 0..limiters {
-            let mut back_off = BackOff::new(limiters, u64::from(limiter));
+            let mut back_off = BackOff::new(asked(limiters), u64::from(limiter));
             let mut at = back_off.next(true);
             while at < Duration::from_secs(20) {
                 calls.push(at);
@@ -299,8 +445,73 @@
 
     #[test]
     fn a_few_limiters_come_back_soon() {
-        let mut back_off = BackOff::new(4, 1);
+        let mut back_off = BackOff::new(asked(4), 1);
         assert!(back_off.next(true) <= Duration::from_millis(80));
         assert!((0..20).all(|_| back_off.next(false) <= Duration::from_secs(1)));
     }
+
+    /// The rules allow sends for 250 ms after the word that a server drains, and the agent counts as told whether or
+    /// not a watch is open: however large the fleet, no time without one may be that long.
+    #[test]
+    fn an_agent_is_called_again_at_once_whatever_the_fleet() {
+        let manner = Manner::of(&fleet_settings());
+        let mut back_off = BackOff::new(manner, 1);
+        let longest = (0..50).map(|_| back_off.next(false)).max().unwrap_or_default();
+        assert!(longest <= Duration::from_millis(50) && manner.at_once, "{longest:?}");
+        assert!(longest + manner.answer <= Duration::from_millis(250), "{:?}", manner.answer);
+    }
+
+    /// One clock for silence: 6 s after a watch fell silent what it missed counts as told, where it is asked for too.
+    #[test]
+    fn a_silent_watch_is_begun_anew_in_time_in_a_fleet_of_hundreds() {
+        let mut back_off = BackOff::new(asked(300), 1);
+        let longest = (0..50).map(|_| back_off.next(true)).max().unwrap_or_default();
+        assert!(SILENCE + longest <= Duration::from_millis(5000), "{longest:?}");
+    }
+
+    fn cut(text: &str, chunk: usize) -> Vec<String> {
+        let mut objects = Objects::default();
+        let mut all = Vec::new();
+        for part in text.as_bytes().chunks(chunk) {
+            objects.push(part);
+            while let Ok(Some(object)) = objects.next() {
+                all.push(String::from_utf8_lossy(&object).into_owned());
+            }
+        }
+        assert!(objects.between() || objects.next().is_err(), "{text:?} leaves a part");
+        all
+    }
+
+    #[test]
+    fn objects_are_cut_apart_however_they_are_laid_out() {
+        let one = "{\n  \"version\": 4,\n  \"servers\": [\n    { \"id\": \"a}\\\"{[\" }\n  ]\n}";
+        let text = format!("\n\n{one}\r\n\n{{\"version\":5,\"servers\":[]}}{one}\n");
+        for chunk in [1, 2, 3, 7, text.len()] {
+            assert_eq!(cut(&text, chunk), [one, "{\"version\":5,\"servers\":[]}", one], "chunks of {chunk}");
+        }
+        assert!(cut("null\n", 5).is_empty());
+        let mut endless = Objects::default();
+        endless.push(b"{");
+        endless.push(&vec![b' '; MOST_OBJECT]);
+        assert!(endless.next().is_err());
+    }
+
+    /// One figure that cannot be read must not keep a leaving server in the list, nor a good one out.
+    #[test]
+    fn an_entry_is_read_as_far_as_it_makes_sense() {
+        let read = |text: &str| entry(&serde_json::from_str(text).expect("JSON"), |_| Some(1));
+        let known =
+            read(r#"{"id":"s","addr":"127.0.0.1:1","state":"active","weight":"x","started_ms":null}"#);
+        let (known, _) = known.expect("an entry");
+        assert_eq!((known.weight, known.started, known.condition), (1.0, 0.0, Condition::Serving));
+        let gone = read(r#"{"id":"s","state":"left"}"#).expect("an entry").0;
+        assert_eq!((gone.condition, gone.zone), (Condition::Gone, u32::MAX));
+        let drains = read(r#"{"id":"s","addr":7,"state":"leaving","cell":-1}"#).expect("an entry").0;
+        assert_eq!(drains.condition, Condition::Draining);
+        for text in
+            ["7", "{}", r#"{"id":"s","state":"active","addr":"nowhere"}"#, r#"{"id":7,"state":"left"}"#]
+        {
+            assert!(read(text).is_none(), "{text}");
+        }
+    }
 }
--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -81,6 +81,7 @@
 struct Known {
     addr: SocketAddr,
     takes: bool,
+    started: f64,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -146,6 +147,8 @@
     pub list_wanted: Notify,
     whole_wanted: Cell<bool>,
     told: Cell<bool>,
+    /// The list of an earlier time, until discovery has told what has changed or has had its chance.
+    earlier: Cell<Option<News>>,
     /// SIGTERM has come.
     pub draining: Cell<bool>,
     clock: Clock,
@@ -154,8 +157,10 @@
     timers_changed: Notify,
 }
 
-/// A list that was handed over at the start counts as good after this long without word from discovery.
+/// A list that was handed over at the start counts as good after this long without word from discovery. Where lists
+/// are pushed, an agent on this machine answers at once, unless it knows nothing.
 const UNTOLD_MS: f64 = 2000.0;
+const UNTOLD_PUSHED_MS: f64 = 500.0;
 
 fn micros(ms: f64) -> u64 {
     (ms * 1000.0).ceil() as u64
@@ -186,20 +191,43 @@
             list_wanted: Notify::new(),
             whole_wanted: Cell::new(false),
             told: Cell::new(false),
+            earlier: Cell::new(None),
             draining: Cell::new(false),
             clock,
             mail,
             state: RefCell::new(state),
             timers_changed: Notify::new(),
         });
-        if let Some(mut known) = driver.config.known.clone() {
-            known.set_whole();
-            let news = discovery::news(known, &driver);
-            driver.apply(news);
+        if let Some(known) = driver.config.known.clone() {
+            let earlier = News { whole: true, ..discovery::news(known, &driver) };
+            // What the agent has counts as told from the first moment: until it is heard, nothing may be sent by an
+            // older list. Where lists are asked for, only what was heard is told.
+            if driver.config.settings.must_subscribe {
+                driver.apply(earlier);
+            } else {
+                driver.earlier.set(Some(earlier));
+            }
         }
         Ok(driver)
     }
 
+    /// Goes by the list that was handed over at the start, if discovery says nothing in time.
+    pub async fn fall_back(self: Rc<Self>) {
+        tokio::time::sleep(Duration::from_secs_f64(self.untold_ms() / 1000.0)).await;
+        if let Some(earlier) = self.earlier.take() {
+            self.log("discovery has said nothing: the list of the start counts");
+            self.apply(earlier);
+        }
+    }
+
+    fn untold_ms(&self) -> f64 {
+        if self.config.settings.must_subscribe {
+            UNTOLD_MS
+        } else {
+            UNTOLD_PUSHED_MS
+        }
+    }
+
     /// One line for the operator.
     pub fn log(&self, line: &str) {
         // A log that nobody reads any more must not end the limiter, as `eprintln!` would.
@@ -214,7 +242,7 @@
     /// A request could be served: a server takes work, discovery has spoken or had its chance, and the module is
     /// ready to let requests in.
     pub fn ready(&self) -> bool {
-        let told = self.told.get() || self.clock.began.elapsed().as_secs_f64() * 1000.0 > UNTOLD_MS;
+        let told = self.told.get() || self.clock.began.elapsed().as_secs_f64() * 1000.0 > self.untold_ms();
         let state = self.state.borrow();
         told && !self.draining.get()
             && state.servers.values().any(|s| s.takes)
@@ -248,6 +276,10 @@
     /// Discovery's news.
     pub fn servers(self: &Rc<Self>, news: News) {
         self.told.set(true);
+        let news = match self.earlier.take() {
+            Some(earlier) => news.after(earlier),
+            None => news,
+        };
         self.apply(news);
     }
 
@@ -269,7 +301,8 @@
             let old = if gone {
                 state.servers.remove(&entry.server)
             } else {
-                state.servers.insert(entry.server.clone(), Known { addr: *addr, takes })
+                let known = Known { addr: *addr, takes, started: entry.started };
+                state.servers.insert(entry.server.clone(), known)
             };
             let news = match &old {
                 Some(old) => gone || old.takes != takes || old.addr != *addr,
@@ -278,7 +311,8 @@
             if news {
                 self.log(&format!("server {} at {addr}: {:?}", entry.server, entry.condition));
             }
-            if old.is_some_and(|o| !takes || o.addr != *addr) {
+            // What was open to a process that has started again since is of no use, also where it looks alive.
+            if old.is_some_and(|o| !takes || o.addr != *addr || o.started != entry.started) {
                 self.pool.borrow_mut().drop_idle(&entry.server);
             }
         }
@@ -381,11 +415,12 @@
             Action::CloseIdle { server } => {
                 self.pool.borrow_mut().drop_idle(&server);
             }
-            // The watch is always on; asking again only ends its waiting.
-            Action::Subscribe(_) => self.list_wanted.notify_waiters(),
+            // The watch is always on.
+            Action::Subscribe(_) => {}
+            // The word is kept for a watch that is just being begun.
             Action::FetchList => {
                 self.whole_wanted.set(true);
-                self.list_wanted.notify_waiters();
+                self.list_wanted.notify_one();
             }
             Action::Log(line) => self.log(&line),
             // Servers may not be probed here, and limiters talk as peers: the module does neither. Should it,
--- a/marldeal/src/main.rs
+++ b/marldeal/src/main.rs
@@ -53,6 +53,7 @@
     tokio::task::spawn_local(driver.clone().run_timers());
     tokio::task::spawn_local(servers::sweep(driver.clone()));
     tokio::task::spawn_local(discovery::watch(driver.clone()));
+    tokio::task::spawn_local(driver.clone().fall_back());
     let reloading = driver.clone();
     tokio::task::spawn_local(async move {
         while hangup.recv().await.is_some() {
--- a/marldeal/tests/stubs/mod.rs
+++ b/marldeal/tests/stubs/mod.rs
@@ -1,4 +1,6 @@
 //! Stub servers, a stub of discovery, and the program under test.
+// Each file of tests uses a part of this.
+#![allow(dead_code)]
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -142,6 +144,21 @@
     heads: Mutex<Vec<String>>,
     streams: Mutex<Vec<TcpStream>>,
     muted: AtomicBool,
+    /// Calls are taken and not answered.
+    holds: AtomicBool,
+    held: Mutex<Vec<TcpStream>>,
+    calls: AtomicUsize,
+    /// What a new watch begins with, if not a beat.
+    says: Mutex<Option<String>>,
+}
+
+impl Watches {
+    fn begin(&self, mut stream: TcpStream) {
+        let text = self.says.lock().expect("lock").clone().unwrap_or_else(|| "\n".to_string());
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        chunk(&mut stream, &text);
+        self.streams.lock().expect("lock").push(stream);
+    }
 }
 
 /// Discovery: watches that say what they are told, and beats.
@@ -154,16 +171,21 @@
     pub fn new(first: String) -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
         let addr = listener.local_addr().expect("address");
-        let watches = Arc::new(Watches::default());
+        let watches = Arc::new(Watches { says: Mutex::new(Some(first)), ..Watches::default() });
         let all = watches.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming() {
                 let Ok(mut stream) = stream else { continue };
                 let Some(message) = read_message(&mut stream) else { continue };
-                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-                let text = if all.heads.lock().expect("lock").is_empty() { first.as_str() } else { "\n" };
-                chunk(&mut stream, text);
-                all.streams.lock().expect("lock").push(stream);
+                all.calls.fetch_add(1, Ordering::SeqCst);
+                let mut held = all.held.lock().expect("lock");
+                if all.holds.load(Ordering::SeqCst) {
+                    held.push(stream);
+                    continue;
+                }
+                all.begin(stream);
+                // The first list is told once.
+                *all.says.lock().expect("lock") = None;
                 all.heads.lock().expect("lock").push(message.head);
             }
         });
@@ -190,6 +212,26 @@
     pub fn watches(&self) -> Vec<String> {
         self.watches.heads.lock().expect("lock").clone()
     }
+    /// One that is down: it takes calls and says nothing, to old watches or new ones.
+    pub fn held(first: String) -> Discovery {
+        let discovery = Discovery::new(first);
+        discovery.hold();
+        discovery
+    }
+    pub fn hold(&self) {
+        self.mute();
+        self.watches.holds.store(true, Ordering::SeqCst);
+    }
+    /// Answers what it holds with a list, and whoever calls from now on.
+    pub fn release(&self, text: &str) {
+        *self.watches.says.lock().expect("lock") = Some(text.to_string());
+        let mut held = self.watches.held.lock().expect("lock");
+        self.watches.holds.store(false, Ordering::SeqCst);
+        held.drain(..).for_each(|stream| self.watches.begin(stream));
+    }
+    pub fn calls(&self) -> usize {
+        self.watches.calls.load(Ordering::SeqCst)
+    }
     pub fn mute(&self) {
         self.watches.muted.store(true, Ordering::SeqCst);
     }
@@ -260,6 +302,16 @@
     fn new(servers: &[(&str, &Stub, &str)], alter: impl Fn(String) -> String, descriptors: u32) -> Node {
         let entries: Vec<_> = servers.iter().map(|(id, stub, state)| (*id, stub.addr, *state)).collect();
         let discovery = Discovery::new(line(1, true, &entries));
+        let node = Node::before(discovery, alter, descriptors);
+        wait_for("the watch", || !node.discovery.watches().is_empty());
+        if !servers.is_empty() {
+            wait_for("readiness", || ready(&node) == 200);
+        }
+        node
+    }
+
+    /// Starts before a discovery of any kind; waits until the program listens.
+    pub fn before(discovery: Discovery, alter: impl Fn(String) -> String, descriptors: u32) -> Node {
         let config = write_config(&alter(CONFIG.replace("DISCOVERY", &discovery.addr.to_string())));
         // At the start the variable stands above the file; a reload goes by the file.
         let told = discovery.addr.to_string();
@@ -280,12 +332,7 @@
             addr = at.and_then(|(_, a)| a.trim().parse().ok());
             addr.is_some()
         });
-        let node = Node { addr: addr.expect("an address"), discovery, child, log, config };
-        wait_for("the watch", || !node.discovery.watches().is_empty());
-        if !servers.is_empty() {
-            wait_for("readiness", || ready(&node) == 200);
-        }
-        node
+        Node { addr: addr.expect("an address"), discovery, child, log, config }
     }
 
     /// Exit code and standard error of a start that must fail.
@@ -303,8 +350,11 @@
         self.signal("HUP");
     }
 
+    pub fn logged(&self, text: &str) -> bool {
+        self.log.lock().expect("lock").contains(text)
+    }
     pub fn wait_log(&self, text: &str) {
-        wait_for(text, || self.log.lock().expect("lock").contains(text));
+        wait_for(text, || self.logged(text));
     }
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
