Send keepers' mail newest first, drop what comes too late, book by plan

At fault, policy.rs: the outbox was first in, first out and kept lines that no longer meant anything; check_word took an ask that had not left its own outbox for a lost one and asked again; on_word measured the wait from the last ask, so that a word to the first seemed to come at once. A queue that losses began, the asks and the clients' tries then kept long.

Now the newest goes first, asks of requests that do not wait and words older than 250 ms are dropped, what is not sent yet is not missed, and the wait is measured from the first ask.

Also, from reading: books at members and keepers went by the customer alone. One that changed its plan, or an id given to another customer on another plan, found its requests refused for as long as it went on asking, since the keeper's book stayed with the first plan. Books go by customer and plan; the word carries the plan (26 bytes, as many to a message as before). The test in tests/quota.rs fails without it. One in quota.rs cut messages at 25 bytes, which is now 26. Members' books are kept until their stores are full, and sooner beyond 10,000 customers, so that a flood of new ones is bounded.

A new test holds the quotas with 300 limiters over restarts and lost messages; it passed before as well.

--- a/src/message.rs
+++ b/src/message.rs
@@ -4,7 +4,7 @@
 use crate::interface::{CustomerId, RequestId};
 
 /// First byte of each message: another format is not read.
-const MESSAGE_MARK: u8 = 0xfc;
+const MESSAGE_MARK: u8 = 0xfd;
 /// Bytes of a message's head: mark, checksum, start of the sender, latency share.
 const HEAD: usize = 8;
 /// Most bytes of a message.
@@ -40,6 +40,8 @@
     pub id: RequestId,
     /// Whose it is.
     pub customer: CustomerId,
+    /// Index of the plan in the settings.
+    pub plan: u8,
     /// The member's start, as its ask gave it.
     pub born: u32,
     /// The units may be spent.
@@ -88,6 +90,7 @@
                 body.push(if w.granted { 2 } else { 3 });
                 body.extend_from_slice(&w.id.to_be_bytes());
                 body.extend_from_slice(&w.customer.to_be_bytes());
+                body.push(w.plan);
                 body.extend_from_slice(&w.born.to_be_bytes());
                 body.extend_from_slice(&w.over.to_be_bytes());
                 body.extend_from_slice(&w.left.to_be_bytes());
@@ -116,6 +119,7 @@
             kind @ (2 | 3) => Line::Word(Word {
                 id: u32::from_be_bytes(take(rest)?),
                 customer: u64::from_be_bytes(take(rest)?),
+                plan: take::<1>(rest)?[0],
                 born: u32::from_be_bytes(take(rest)?),
                 granted: kind == 2,
                 over: amount(rest)?,
@@ -131,7 +135,7 @@
     pub fn size(&self) -> usize {
         match self {
             Line::Ask(_) => 26,
-            Line::Word(_) => 25,
+            Line::Word(_) => 26,
             Line::Done(_) => 9,
         }
     }
@@ -148,8 +152,8 @@
 }
 
 /// Whether a line more fits beside `lines`.
-pub fn has_room(lines: &[Line], more: &Line) -> bool {
-    HEAD + lines.iter().map(Line::size).sum::<usize>() + more.size() <= MOST_BYTES
+pub fn has_room<'a>(lines: impl Iterator<Item = &'a Line>, more: &Line) -> bool {
+    HEAD + lines.map(Line::size).sum::<usize>() + more.size() <= MOST_BYTES
 }
 
 /// A message: mark, checksum, start of the sender, its latency as a share of the aim, then the lines.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -66,12 +66,18 @@
 const WORD_PART: f64 = 0.4;
 /// Share of the receivers' message allowance that this limiter sends, and seconds of it sent in one go.
 const MAIL_PART: (f64, f64) = (0.8, 0.1);
+/// Milliseconds after which a word that still waits to be sent comes too late for its member; most messages
+/// that wait.
+const WORD_KEPT_MS: Millis = 250.0;
+const MOST_OUTBOX: usize = 256;
 /// Asks heard after a pause of so many milliseconds are old.
 const STALL_MS: Millis = 500.0;
 /// Least and most milliseconds over which demand is smoothed, in between the time of a whole burst; a
-/// customer not seen for so many milliseconds is dropped, if its stores are full by then.
+/// customer not seen for so many milliseconds is dropped, if its stores are full by then; and customers kept,
+/// beyond which they are dropped sooner: some 3 MB.
 const DEMAND_MS: (Millis, Millis) = (1000.0, 10_000.0);
 const IDLE_MS: Millis = 60_000.0;
+const MOST_KEPT: f64 = 10_000.0;
 
 // Attempts.
 /// Weight of the newest latency in the usual one of all servers.
@@ -490,11 +496,16 @@
     /// Forgets customers not seen for long, and what was granted long ago.
     fn drop_idle(&mut self) {
         let Limiter { now, settings, accounts, grants, customers, .. } = self;
-        customers.retain(|_, c| *now - c.seen < IDLE_MS);
+        // Stores that are full by then are dropped, sooner where a flood of new customers leaves no room.
+        let kept_ms = |plan: usize, count: usize| {
+            IDLE_MS.max(2.0 * refill_ms(&settings.plans[plan])) * (MOST_KEPT / count as f64).min(1.0)
+        };
+        let count = customers.len();
+        customers.retain(|k, c| *now - c.seen < kept_ms(k.1, count));
         let longest = settings.classes.iter().map(|c| c.aim_ms).fold(0.0, f64::max);
         grants.retain(|_, g| {
             let age = *now - g.at;
-            if let Some(a) = accounts.get_mut(&g.customer) {
+            if let Some(a) = accounts.get_mut(&g.payer) {
                 if g.lent && age > GRANT_MS {
                     g.lent = false;
                     a.lent = (a.lent - g.units).max(0.0);
@@ -507,7 +518,8 @@
             }
             age < GRANT_KEPT_MS.max(longest)
         });
-        accounts.retain(|_, a| *now - a.seen < IDLE_MS.max(2.0 * refill_ms(&settings.plans[a.plan])));
+        let count = accounts.len();
+        accounts.retain(|k, a| *now - a.seen < kept_ms(k.1, count));
     }
 
     // ---- Quotas and ceilings: the member ----
@@ -516,7 +528,7 @@
         let now = self.now;
         let whole = self.settings.plans[request.plan].burst;
         let burst = whole / f64::from(request.spread);
-        self.customers.entry(request.customer).or_insert_with(|| {
+        self.customers.entry(payer(request)).or_insert_with(|| {
             // Not a whole request's units: each of a hundred members would give them away once more.
             let even = Store { level: burst, at: now };
             let (told_at, room) = (f64::NEG_INFINITY, whole);
@@ -551,7 +563,7 @@
         };
         let (now, units, ceiled) = (self.now, request.units, plan.ceiling_rate > 0.0);
         let (part, least) = (f64::from(request.spread).recip(), plan.burst * ROOM_PART);
-        let Some(c) = self.customers.get_mut(&request.customer) else { return };
+        let Some(c) = self.customers.get_mut(&payer(&request)) else { return };
         c.even.fill(now, plan.rate * part, (plan.burst * part).max(units));
         // A part that holds no whole request belongs to no member: the keeper's store decides.
         let room = plan.burst * part >= units && c.even.level >= units && c.room - units >= least;
@@ -561,7 +573,7 @@
             self.grants.remove(&(me, self.incarnation, id));
             return self.ask(id, out);
         }
-        if let Some(c) = self.customers.get_mut(&request.customer) {
+        if let Some(c) = self.customers.get_mut(&payer(&request)) {
             (c.even.level, c.room) = (c.even.level - units, c.room - units);
         }
         self.requests.entry(id).and_modify(|r| r.keeper = Some(first));
@@ -578,7 +590,7 @@
             first: request.first as u16,
             spread: request.spread as u16,
             units: request.units as f32,
-            unasked: self.customers.get(&request.customer).map_or(0.0, |c| c.unasked) as f32,
+            unasked: self.customers.get(&payer(request)).map_or(0.0, |c| c.unasked) as f32,
             spent: false,
         }
     }
@@ -606,7 +618,10 @@
                 }
             } else if self.settings.may_tell && !silent(keeper) {
                 let now = self.now;
-                self.requests.entry(id).and_modify(|r| (r.asked, r.asks) = (Some((keeper, now)), r.asks + 1));
+                self.requests.entry(id).and_modify(|r| {
+                    r.first_asked = if r.asks == 0 { now } else { r.first_asked };
+                    (r.asked, r.asks) = (Some((keeper, now)), r.asks + 1);
+                });
                 let after_ms = self.wait_ms * LATE_TIMES + 2.0 * self.settings.round_ms;
                 out.push(Action::Wake { after_ms, token: token(id, WAKE_WORD) });
                 return self.tell(keeper, Line::Ask(ask), out);
@@ -621,8 +636,14 @@
         let late = self.wait_ms * LATE_TIMES;
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some((keeper, at)) = open.asked else { return };
+        let word_ms = WORD_PART * self.settings.classes[open.request.class].aim_ms;
+        let asks = |l: &(Millis, Line)| matches!(l.1, Line::Ask(a) if a.id == id && !a.spent);
+        // Not sent yet: it is this limiter that is late.
+        let unsent = self.now - open.arrived < word_ms
+            && self.outbox.iter().any(|(to, lines)| *to == keeper && lines.iter().any(asks));
         // The usual wait has grown since the ask: without another look a lost word would never be missed.
-        if self.now - at < late {
+        if unsent || self.now - at < late {
+            let at = if unsent { self.now } else { at };
             let after_ms = at + late - self.now + self.settings.round_ms;
             return out.push(Action::Wake { after_ms, token: token(id, WAKE_WORD) });
         }
@@ -637,15 +658,16 @@
 
     /// Takes a keeper's word in, wherever it comes in time.
     fn on_word(&mut self, from: u32, word: &Word, out: &mut Vec<Action>) {
-        if let Some(c) = self.customers.get_mut(&word.customer) {
+        if let Some(c) = self.customers.get_mut(&(word.customer, word.plan.into())) {
             (c.told, c.told_at, c.unasked) = (f64::from(word.over), self.now, 0.0);
             c.room = f64::from(word.left);
         }
         let own = from == self.settings.position;
         let waits = |r: &&mut Open| r.attempts == 0 && r.keeper.is_none() && (own || r.asked.is_some());
         let Some(open) = self.requests.get_mut(&word.id).filter(waits) else { return };
-        if let Some((_, at)) = open.asked.take().filter(|a| a.0 == from) {
-            self.wait_ms += NEWEST_WAIT * (self.now - at - self.wait_ms);
+        // From the first ask on: a word that came late would seem to answer the second one at once.
+        if open.asked.take().is_some_and(|a| a.0 == from) {
+            self.wait_ms += NEWEST_WAIT * (self.now - open.first_asked - self.wait_ms);
         }
         open.let_in = self.now;
         open.keeper = word.granted.then_some(from);
@@ -664,7 +686,7 @@
         let Some(open) = self.requests.get_mut(&id) else { return };
         let (request, units) = (&open.request, open.request.units);
         let plan = &self.settings.plans[request.plan];
-        let Some(c) = self.customers.get_mut(&request.customer) else { return };
+        let Some(c) = self.customers.get_mut(&payer(request)) else { return };
         let most = if plan.rate > 0.0 { plan.burst } else { f64::from(plan.open) * units };
         let aim_s = self.settings.classes[request.class].aim_ms / 1000.0;
         let rate = if plan.rate > 0.0 { plan.rate } else { most / aim_s };
@@ -692,17 +714,17 @@
     /// fills only once all that an earlier start of this limiter may have granted has lapsed.
     fn judge(&mut self, from: u32, born: u32, ask: &Ask) -> Option<Word> {
         let (now, n) = (self.now, self.settings.limiters);
-        let plan = self.settings.plans.get(usize::from(ask.plan))?;
+        let payer = (ask.customer, usize::from(ask.plan));
+        let plan = self.settings.plans.get(payer.1)?;
         let (set, me) = ((ask.first.into(), ask.spread.into()), self.settings.position);
         let rank = (0..CEILING_PARTS.len()).find(|k| keeper(ask.customer, set, n, *k as u32) == Some(me))?;
         let (part, share) = (CEILING_PARTS[rank], if rank == 0 { 1.0 } else { BACKUP_PART });
         let span = (1000.0 * plan.burst / plan.rate.max(1e-9)).clamp(DEMAND_MS.0, DEMAND_MS.1);
-        let a = self.accounts.entry(ask.customer).or_insert_with(|| {
+        let a = self.accounts.entry(payer).or_insert_with(|| {
             let store = Store { level: plan.burst * share, at: now };
             let ceiling = Store { level: -plan.ceiling_slack * part, at: self.born + GRANT_MS };
             let demand = Fading::new(now, span);
-            let (plan, let_in) = (ask.plan.into(), demand);
-            Account { plan, part, store, ceiling, lent: 0.0, open: 0, demand, let_in, seen: now }
+            Account { part, store, ceiling, lent: 0.0, open: 0, demand, let_in: demand, seen: now }
         });
         a.seen = now;
         // Demand as a multiple of the quota; of what was let in where a cap on attempts out is full.
@@ -711,10 +733,11 @@
             let quota = if plan.rate > 0.0 { plan.rate } else { f64::INFINITY };
             (a.demand.rate(now) / if full { a.let_in.rate(now).max(1e-3) } else { quota }) as f32
         };
-        let (id, customer) = (ask.id, ask.customer);
+        let (id, customer, plan_told) = (ask.id, ask.customer, ask.plan);
         let word = |granted, a: &Account| Word {
             id,
             customer,
+            plan: plan_told,
             born,
             granted,
             over: over(a),
@@ -733,7 +756,7 @@
         let under = !ceiled || a.ceiling.level - units >= -plan.ceiling_slack * a.part;
         // What a member has spent takes its units in any case, but from the quota alone: it had its own part
         // of the ceiling.
-        let granted = (ask.spent || (inside && room && under)) && usize::from(ask.plan) == a.plan;
+        let granted = ask.spent || (inside && room && under);
         let lends = granted && !ask.spent;
         if granted {
             a.store.level = (a.store.level - units).max(-plan.burst);
@@ -745,7 +768,7 @@
             a.open += 1;
         }
         let (lent, open, done) = (lends && ceiled, lends, !granted);
-        let grant = Grant { customer, at: now, units, granted, lent, open, done };
+        let grant = Grant { payer, at: now, units, granted, lent, open, done };
         let word = word(granted, a);
         self.grants.insert((from, born, id), grant);
         Some(word)
@@ -754,7 +777,7 @@
     /// A granted request has ended: its place is free, and the quota takes what it really used.
     fn on_done(&mut self, from: u32, born: u32, done: Done) {
         let Some(grant) = self.grants.get_mut(&(from, born, done.id)) else { return };
-        let Some(a) = self.accounts.get_mut(&grant.customer) else { return };
+        let Some(a) = self.accounts.get_mut(&grant.payer) else { return };
         if grant.done {
             return;
         }
@@ -763,7 +786,7 @@
             grant.open = false;
             a.open = a.open.saturating_sub(1);
         }
-        let most = self.settings.plans[a.plan].burst;
+        let most = self.settings.plans[grant.payer.1].burst;
         a.store.level -= f64::from(done.used).min(grant.units + most) - grant.units;
     }
 
@@ -774,19 +797,42 @@
         if let (true, Line::Done(done)) = (to == self.settings.position, line) {
             return self.on_done(to, self.incarnation, done);
         }
-        match self.outbox.iter_mut().find(|(p, lines)| *p == to && has_room(lines, &line)) {
-            Some((_, lines)) => lines.push(line),
-            None => self.outbox.push_back((to, vec![line])),
+        match self
+            .outbox
+            .iter_mut()
+            .find(|(p, lines)| *p == to && has_room(lines.iter().map(|l| &l.1), &line))
+        {
+            Some((_, lines)) => lines.push((self.now, line)),
+            None => self.outbox.push_back((to, vec![(self.now, line)])),
         }
+        self.outbox.drain(..self.outbox.len().saturating_sub(MOST_OUTBOX));
         self.send_mail(out);
     }
 
+    /// Whether a line that has waited still says anything to its receiver.
+    fn tells(&self, to: u32, at: Millis, line: &Line) -> bool {
+        match line {
+            Line::Ask(ask) if !ask.spent => {
+                self.requests.get(&ask.id).and_then(|r| r.asked).is_some_and(|a| a.0 == to)
+            }
+            Line::Word(_) => self.now - at < WORD_KEPT_MS,
+            _ => true,
+        }
+    }
+
     fn send_mail(&mut self, out: &mut Vec<Action>) {
         let rate = self.settings.messages_per_s * MAIL_PART.0;
         self.mail.fill(self.now, rate, (rate * MAIL_PART.1).max(1.0));
         let share = self.own.value(self.now);
         while self.mail.level >= 1.0 {
-            let Some((to, lines)) = self.outbox.pop_front() else { return };
+            // The newest first: behind a queue each word would come too late, be asked for again, and so
+            // lengthen it.
+            let Some((to, lines)) = self.outbox.pop_back() else { return };
+            let lines: Vec<Line> =
+                lines.iter().filter(|(at, line)| self.tells(to, *at, line)).map(|l| l.1).collect();
+            if lines.is_empty() {
+                continue;
+            }
             self.mail.level -= 1.0;
             out.push(Action::Tell { to: Some(to), body: message(self.incarnation, share, &lines) });
         }
@@ -835,6 +881,11 @@
     (rank < keepers).then_some(position as u32)
 }
 
+/// Whose quota a request takes its units from.
+fn payer(request: &Request) -> Payer {
+    (request.customer, request.plan)
+}
+
 /// Milliseconds in which the slower of the plan's stores fills.
 fn refill_ms(plan: &Plan) -> Millis {
     let time = |amount: f64, rate: f64| if rate > 0.0 { 1000.0 * amount / rate } else { 0.0 };
--- a/src/state.rs
+++ b/src/state.rs
@@ -84,10 +84,11 @@
     pub(crate) requests: BTreeMap<RequestId, Open>,
     pub(crate) attempts: BTreeMap<(RequestId, u32), Attempt>,
     pub(crate) held: VecDeque<RequestId>,
-    pub(crate) customers: BTreeMap<CustomerId, Customer>,
-    pub(crate) accounts: BTreeMap<CustomerId, Account>,
+    pub(crate) customers: BTreeMap<Payer, Customer>,
+    pub(crate) accounts: BTreeMap<Payer, Account>,
     pub(crate) grants: BTreeMap<GrantKey, Grant>,
-    pub(crate) outbox: VecDeque<(u32, Vec<Line>)>,
+    /// Messages that wait for the allowance: receiver, and lines with the moment from which they wait.
+    pub(crate) outbox: VecDeque<(u32, Vec<(Millis, Line)>)>,
     /// Messages that may be sent now.
     pub(crate) mail: Store,
     pub(crate) mail_due: bool,
@@ -187,6 +188,9 @@
     }
 }
 
+/// Whose quota it is: a customer on another plan, or an id that was given to another customer since, has one of its own.
+pub type Payer = (CustomerId, usize);
+
 /// What a member of a customer's set remembers of it.
 #[derive(Debug)]
 pub struct Customer {
@@ -205,7 +209,6 @@
 /// What a keeper holds for a customer.
 #[derive(Debug)]
 pub struct Account {
-    pub plan: usize,
     /// Share of the ceiling that this keeper owns.
     pub part: f64,
     pub store: Store,
@@ -226,7 +229,7 @@
 /// What a keeper answered, kept for repeats and for the end of the request.
 #[derive(Debug)]
 pub struct Grant {
-    pub customer: CustomerId,
+    pub payer: Payer,
     pub at: Millis,
     pub units: f64,
     pub granted: bool,
@@ -273,8 +276,9 @@
     /// Keepers passed over so far, and asks to the present one.
     pub rank: u32,
     pub asks: u32,
-    /// Waiting for a keeper's word since then.
+    /// Waiting for a keeper's word since then; the first ask to that keeper.
     pub asked: Option<(u32, Millis)>,
+    pub first_asked: Millis,
     /// The keeper that granted the units.
     pub keeper: Option<u32>,
     /// When the quota let it in.
@@ -299,6 +303,7 @@
             rank: 0,
             asks: 0,
             asked: None,
+            first_asked: now,
             keeper: None,
             let_in: now,
             true_units: None,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -7,6 +7,8 @@
 use fawnhill::*;
 
 const LIMITERS: u32 = 100;
+/// Added to a request's number for each further try.
+const AGAIN: RequestId = 1_000_000;
 
 /// A fleet before servers that answer after a fixed time, and its count of units sent on.
 struct Fleet {
@@ -15,22 +17,47 @@
     /// Answers under way: when, limiter, request, attempt.
     answers: Vec<(Millis, usize, RequestId, u32)>,
     next: RequestId,
+    /// Tries of one request, the first included: a client that is refused comes again, at another member.
+    tries: u32,
+    again: Vec<(Millis, RequestId)>,
     sent: u32,
+    /// Requests sent on, by number.
+    sent_on: Vec<RequestId>,
     /// When, and to which server, something was sent on.
     sends: Vec<(Millis, ServerId)>,
 }
 
 impl Fleet {
     fn new(servers: u32, seed: u64) -> Fleet {
-        let all = (0..LIMITERS).map(|p| Settings { limiters: LIMITERS, ..settings(p) }).collect();
+        Fleet::of(LIMITERS, servers, seed)
+    }
+
+    fn of(limiters: u32, servers: u32, seed: u64) -> Fleet {
+        let all = (0..limiters).map(|p| Settings { limiters, ..settings(p) }).collect();
         let (net, rng) = (Net::new(all, servers, seed), fastrand::Rng::with_seed(seed));
-        Fleet { net, rng, answers: Vec::new(), next: 0, sent: 0, sends: Vec::new() }
+        Fleet {
+            net,
+            rng,
+            answers: Vec::new(),
+            next: 0,
+            tries: 1,
+            again: Vec::new(),
+            sent: 0,
+            sent_on: Vec::new(),
+            sends: Vec::new(),
+        }
     }
 
     fn take(&mut self, limiter: usize, actions: Vec<Action>) {
         for a in actions {
+            if let Action::Refuse { id, .. } = a {
+                if id / AGAIN + 1 < self.tries {
+                    self.again.push((self.net.now + 100.0 + 200.0 * self.rng.f64(), id + AGAIN));
+                }
+            }
             if let Action::Send { id, server, .. } = a {
                 self.sent += 1;
+                self.sent_on.push(id);
                 self.sends.push((self.net.now, server));
                 self.answers.push((self.net.now + 100.0, limiter, id, 0));
             }
@@ -38,7 +65,7 @@
     }
 
     fn list(&mut self, entries: Vec<ServerEntry>) {
-        for limiter in 0..LIMITERS as usize {
+        for limiter in 0..self.net.rigs.len() {
             let list = Event::Servers { whole: false, entries: entries.clone().into() };
             let actions = self.net.give(limiter, list);
             self.take(limiter, actions);
@@ -60,7 +87,17 @@
                 due += 1000.0 / per_s;
                 self.next += 1;
                 let r = request(self.next);
-                let at = (r.first + self.rng.u32(0..r.spread)) % LIMITERS;
+                let at = (r.first + self.rng.u32(0..r.spread)) % self.net.rigs.len() as u32;
+                let actions = self.net.give(at as usize, Event::Request(r));
+                self.take(at as usize, actions);
+            }
+            let now = self.net.now;
+            let (due_again, later) = std::mem::take(&mut self.again).into_iter().partition(|a| a.0 <= now);
+            self.again = later;
+            let due_again: Vec<(Millis, RequestId)> = due_again;
+            for (_, id) in due_again {
+                let r = request(id);
+                let at = (r.first + self.rng.u32(0..r.spread)) % self.net.rigs.len() as u32;
                 let actions = self.net.give(at as usize, Event::Request(r));
                 self.take(at as usize, actions);
             }
@@ -160,3 +197,77 @@
     let to_cold = fleet.sends_to(now, |n| n >= 100);
     assert!(to_cold * 10 >= all * 3, "{to_cold} of {all} sends to 36 servers that are half warm");
 }
+
+/// One of 6,000 customers, each far inside its quota, with requests at 160 of 200 limiters.
+fn calm(id: RequestId) -> Request {
+    let customer = u64::from(id % AGAIN) % 6000;
+    Request { customer, spread: 160, first: (customer * 13 % 200) as u32, ..request(id, SAFE, RATED) }
+}
+
+/// For some seconds no message arrives, so that each request asks its keepers again and again, more than the allowance
+/// for messages lets through, and clients that are refused come again. Guards against a queue that outlives this: words
+/// that wait behind it come too late, are asked for again and keep it long.
+#[test]
+fn asks_that_were_lost_do_not_jam_the_mail_for_good() {
+    let mut fleet = Fleet::of(200, 20, 5);
+    fleet.tries = 3;
+    fleet.play(5000.0, 2.0, calm);
+    fleet.net.loss = 1.0;
+    fleet.play(5000.0, 3.0, calm);
+    fleet.net.loss = 0.02;
+    fleet.play(5000.0, 3.0, calm);
+    let sent = fleet.play(5000.0, 2.0, calm);
+    assert!(sent >= 9000, "{sent} of 10000 requests inside their quotas were sent on");
+}
+
+/// A customer of 100 limiters of 300: one in ten asks for three times its quota, one in five for nearly all of it.
+fn trading(id: RequestId) -> Request {
+    // Requests come in turns of 200 slots for 100 customers.
+    let slot = u64::from(id) * 7919 % 200;
+    let customer = if slot < 60 {
+        slot % 10
+    } else if slot < 96 {
+        10 + slot % 20
+    } else {
+        30 + slot % 70
+    };
+    Request { customer, spread: 100, first: (customer * 37 % 300) as u32, ..request(id, SAFE, RATED) }
+}
+
+/// On a quiet day hundreds of limiters together keep the quotas, though messages get lost and limiters start again with
+/// nothing: what passes beyond is at most a tenth of what passes inside.
+#[test]
+fn three_hundred_limiters_keep_the_quotas_over_restarts_and_losses() {
+    let mut fleet = Fleet::of(300, 60, 6);
+    fleet.net.loss = 0.05;
+    let (rate, burst) = (6.0, 12.0);
+    // 6 units a second for each of 100 customers is 600; heavy ones ask for 18 of it.
+    let per_s = 600.0;
+    let (mut inside, mut beyond) = (0u32, 0u32);
+    let mut stores = vec![(burst, fleet.net.now); 100];
+    for second in 0..10 {
+        let before = fleet.sends.len();
+        fleet.play(per_s, 1.0, trading);
+        for at in before..fleet.sends.len() {
+            let (now, id) = (fleet.sends[at].0, fleet.sent_on[at]);
+            let (level, since) = &mut stores[trading(id).customer as usize];
+            *level = (*level + rate * (now - *since) / 1000.0).min(burst);
+            *since = now;
+            if *level >= 1.0 {
+                *level -= 1.0;
+                inside += 1;
+            } else {
+                beyond += 1;
+            }
+        }
+        // One in ten limiters each other second, drawn by number.
+        for p in (0..300).filter(|p| second % 2 == 1 && p % 10 == second) {
+            let seed = 1000 + (second * 300 + p) as u64;
+            let limiters = 300;
+            fleet.answers.retain(|a| a.1 != p);
+            fleet.net.restart(p, Settings { limiters, ..settings(p as u32) }, 60, seed);
+        }
+    }
+    assert!(beyond * 10 <= inside, "{beyond} units beyond the quotas, {inside} inside");
+    assert!(inside >= 3500, "{inside} units inside the quotas were sent on of some 4,500 asked for");
+}
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -218,8 +218,8 @@
     let mut note = |actions: Vec<Action>| {
         for a in actions {
             let Action::Tell { body, .. } = a else { continue };
-            // A word takes 25 bytes; its first tells whether it grants, then comes the request.
-            for line in body[8..].chunks(25).filter(|l| l[0] == 2) {
+            // A word takes 26 bytes; its first tells whether it grants, then comes the request.
+            for line in body[8..].chunks(26).filter(|l| l[0] == 2) {
                 ids.insert(line[1..5].to_vec());
             }
         }
@@ -428,3 +428,22 @@
     net.pass(100.0);
     assert!(net.rigs[1].limiter.settled(net.now), "others serve");
 }
+
+/// A customer that changes its plan, or whose id is given to another on another plan, has that plan's quota of its own:
+/// guards against a book that was opened under one plan refusing or lending to the other.
+#[test]
+fn a_customer_on_another_plan_has_another_quota() {
+    let mut rig = Rig::new(Settings { limiters: 1, ..settings(0) }, 3);
+    let of = |id, plan| Request { spread: 1, ..request(id, SAFE, plan) };
+    let sent_on = |rig: &mut Rig, plan: usize, from: u32| {
+        (from..from + 40).filter(|id| !sent(&rig.ask(of(*id, plan))).is_empty()).count()
+    };
+    // The ceiling's store starts as if spent: a while of waiting fills it.
+    rig.pass(20_000.0);
+    let first = sent_on(&mut rig, RATED, 0);
+    assert_eq!(first, 12, "the burst of one plan");
+    assert!(sent_on(&mut rig, CEILED, 100) > 12, "the other plan's quota is another one");
+    rig.pass(500.0);
+    let again = sent_on(&mut rig, RATED, 200);
+    assert!(again <= 4, "{again}: the first one's is as spent as it was");
+}
