--- a/src/policy.rs
+++ b/src/policy.rs
@@ -618,10 +618,7 @@
                 }
             } else if self.settings.may_tell && !silent(keeper) {
                 let now = self.now;
-                self.requests.entry(id).and_modify(|r| {
-                    r.first_asked = if r.asks == 0 { now } else { r.first_asked };
-                    (r.asked, r.asks) = (Some((keeper, now)), r.asks + 1);
-                });
+                self.requests.entry(id).and_modify(|r| (r.asked, r.asks) = (Some((keeper, now)), r.asks + 1));
                 let after_ms = self.wait_ms * LATE_TIMES + 2.0 * self.settings.round_ms;
                 out.push(Action::Wake { after_ms, token: token(id, WAKE_WORD) });
                 return self.tell(keeper, Line::Ask(ask), out);
@@ -665,9 +662,8 @@
         let own = from == self.settings.position;
         let waits = |r: &&mut Open| r.attempts == 0 && r.keeper.is_none() && (own || r.asked.is_some());
         let Some(open) = self.requests.get_mut(&word.id).filter(waits) else { return };
-        // From the first ask on: a word that came late would seem to answer the second one at once.
-        if open.asked.take().is_some_and(|a| a.0 == from) {
-            self.wait_ms += NEWEST_WAIT * (self.now - open.first_asked - self.wait_ms);
+        if let Some((_, at)) = open.asked.take().filter(|a| a.0 == from) {
+            self.wait_ms += NEWEST_WAIT * (self.now - at - self.wait_ms);
         }
         open.let_in = self.now;
         open.keeper = word.granted.then_some(from);
--- a/src/state.rs
+++ b/src/state.rs
@@ -276,9 +276,8 @@
     /// Keepers passed over so far, and asks to the present one.
     pub rank: u32,
     pub asks: u32,
-    /// Waiting for a keeper's word since then; the first ask to that keeper.
+    /// Waiting for a keeper's word since then.
     pub asked: Option<(u32, Millis)>,
-    pub first_asked: Millis,
     /// The keeper that granted the units.
     pub keeper: Option<u32>,
     /// When the quota let it in.
@@ -303,7 +302,6 @@
             rank: 0,
             asks: 0,
             asked: None,
-            first_asked: now,
             keeper: None,
             let_in: now,
             true_units: None,
