Go round silent keepers at once, by the chance that demand gives

A probe of the limiters' state shows 5 to 7 of 7 to 10 open requests waiting for a word, the slot limit open, outboxes empty: first 0.4 of the aim goes by on asks, since of 300 keepers none is missed three times by one limiter, then by_even_part decides with a chance of a few hundredths, as the even part of a set of 150 holds so much of one request. That spends the quota of one who asks for many times his own, and refuses those who ask for a part of theirs, who are most.

Now 12 misses at any keepers with no peer heard since count as silence of all, but for one ask in 250 ms that finds when they are back; and the chance is what was told of the customer's demand, or for one not heard of, the share of such requests that keepers granted before.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -57,6 +57,9 @@
 const ASKS: u32 = 2;
 const SILENT_MISSES: u32 = 3;
 const SILENT_MS: Millis = 1000.0;
+/// Misses at any keepers, with no peer heard since, at which all count as silent but for one ask in so many
+/// milliseconds: one of hundreds of keepers is asked too seldom to miss it three times.
+const ALL_SILENT: (u32, Millis) = (12, 250.0);
 /// A word is late after this many usual waits; the usual wait at the start, in milliseconds; weight of the
 /// newest.
 const LATE_TIMES: f64 = 2.5;
@@ -601,9 +604,10 @@
             let Some(open) = self.requests.get(&id) else { return };
             let request = &open.request;
             let aim = self.settings.classes[request.class].aim_ms;
+            let none_heard = self.unheard >= ALL_SILENT.0 && self.now - self.last_ask < ALL_SILENT.1;
             let silent = |k: u32| {
                 let missed = self.missed.get(&k);
-                missed.is_some_and(|m| m.misses >= SILENT_MISSES && self.now - m.at < SILENT_MS)
+                none_heard || missed.is_some_and(|m| m.misses >= SILENT_MISSES && self.now - m.at < SILENT_MS)
             };
             let set = (request.first, request.spread);
             let Some(keeper) = keeper(request.customer, set, self.settings.limiters, open.rank)
@@ -618,6 +622,7 @@
                 }
             } else if self.settings.may_tell && !silent(keeper) {
                 let now = self.now;
+                self.last_ask = now;
                 self.requests.entry(id).and_modify(|r| (r.asked, r.asks) = (Some((keeper, now)), r.asks + 1));
                 let after_ms = self.wait_ms * LATE_TIMES + 2.0 * self.settings.round_ms;
                 out.push(Action::Wake { after_ms, token: token(id, WAKE_WORD) });
@@ -644,6 +649,7 @@
             let after_ms = at + late - self.now + self.settings.round_ms;
             return out.push(Action::Wake { after_ms, token: token(id, WAKE_WORD) });
         }
+        self.unheard += 1;
         let missed = self.missed.entry(keeper).or_insert(Missed { misses: 0, at });
         *missed = Missed { misses: missed.misses + 1, at: self.now };
         open.asked = None;
@@ -656,6 +662,9 @@
     /// Takes a keeper's word in, wherever it comes in time.
     fn on_word(&mut self, from: u32, word: &Word, out: &mut Vec<Action>) {
         if let Some(c) = self.customers.get_mut(&(word.customer, word.plan.into())) {
+            if self.now - c.told_at > TOLD_MS {
+                self.strangers.add(self.now, f64::from(u8::from(word.granted)));
+            }
             (c.told, c.told_at, c.unasked) = (f64::from(word.over), self.now, 0.0);
             c.room = f64::from(word.left);
         }
@@ -675,9 +684,11 @@
     }
 
     /// No keeper answers: the even part of rate and burst; under a cap on attempts out alone, its even part
-    /// in the time of one aim. Where the part holds no whole request, what it holds is the chance of one: all
-    /// members together then spend the quota. Nobody but the keepers owns a part of a ceiling, so that such a
-    /// customer is refused.
+    /// in the time of one aim. Where the part holds no whole request, what it holds is the least chance of
+    /// one: all members together then spend the quota, if the demand is far above it. What was told of the
+    /// demand says more: the chance by which it does not pass the quota, or for a customer not heard of, the
+    /// share of such requests that keepers let in before. Nobody but the keepers owns a part of a ceiling, so
+    /// that such a customer is refused.
     fn by_even_part(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let (request, units) = (&open.request, open.request.units);
@@ -688,7 +699,9 @@
         let rate = if plan.rate > 0.0 { plan.rate } else { most / aim_s };
         let part = f64::from(request.spread).recip();
         c.even.fill(self.now, rate * part, (most * part).max(units));
-        let chance = if most * part < units { c.even.level / units } else { 0.0 };
+        let known = (c.told_at > f64::NEG_INFINITY).then(|| c.told.max(1.0).recip());
+        let usual = known.or(self.strangers.value(self.now)).unwrap_or(0.0);
+        let chance = if most * part < units { (c.even.level / units).max(usual) } else { 0.0 };
         let spends = c.even.level >= units || self.rng.f64() < chance;
         c.even.level = if spends || chance > 0.0 { (c.even.level - units).max(0.0) } else { c.even.level };
         if plan.ceiling_rate > 0.0 || !spends {
@@ -845,6 +858,7 @@
         }
         let Some((born, share, lines)) = read_message(body) else { return };
         self.missed.remove(&from);
+        self.unheard = 0;
         let older_ms = self.incarnation.wrapping_sub(born);
         self.joined |= older_ms < u32::MAX / 2 && f64::from(older_ms) >= ELDER_MS;
         if let Some(share) = share {
--- a/src/state.rs
+++ b/src/state.rs
@@ -67,6 +67,9 @@
     }
 }
 
+/// Milliseconds for which the share of grants is remembered: longer than keepers are silent.
+const KEPT_MS: Millis = 60_000.0;
+
 /// One limiter: all that it remembers. `policy.rs` holds its decisions.
 #[derive(Debug)]
 pub struct Limiter {
@@ -93,6 +96,11 @@
     pub(crate) mail: Store,
     pub(crate) mail_due: bool,
     pub(crate) missed: BTreeMap<u32, Missed>,
+    /// Asks missed at any keeper since a peer was last heard, and the moment of the last ask.
+    pub(crate) unheard: u32,
+    pub(crate) last_ask: Millis,
+    /// Share of the asks for customers without a recent word that were granted.
+    pub(crate) strangers: Mean,
     /// Usual wait for a keeper's word.
     pub(crate) wait_ms: Millis,
     pub(crate) stepped: Millis,
@@ -147,6 +155,9 @@
             mail: Store { level: 1.0, at: now },
             mail_due: false,
             missed: BTreeMap::new(),
+            unheard: 0,
+            last_ask: f64::NEG_INFINITY,
+            strangers: Mean { sum: Fading::new(now, KEPT_MS), count: Fading::new(now, KEPT_MS) },
             wait_ms: 0.0,
             stepped: now,
             woke: f64::NEG_INFINITY,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -220,6 +220,38 @@
     assert!(sent >= 9000, "{sent} of 10000 requests inside their quotas were sent on");
 }
 
+/// While no message arrives at all, customers far inside their quotas go on being served, as before, and soon: each
+/// member alone holds a hundredth of a request for each.
+#[test]
+fn calm_customers_are_served_while_all_keepers_are_silent() {
+    let mut fleet = Fleet::of(200, 20, 7);
+    fleet.play(3000.0, 2.0, calm);
+    fleet.net.loss = 1.0;
+    fleet.play(3000.0, 1.0, calm);
+    let told = fleet.net.told;
+    let sent = fleet.play(3000.0, 2.0, calm);
+    assert!(sent >= 5400, "{sent} of 6000 requests were sent on");
+    let asks = (fleet.net.told - told) as usize;
+    // Some four a second for each limiter, to find when the others are back, and a few more until all seem silent.
+    assert!(asks <= 200 * 2 * 8, "{asks} asks at keepers that none hears");
+    fleet.net.loss = 0.0;
+    fleet.play(3000.0, 1.0, calm);
+    let told = fleet.net.told;
+    fleet.play(3000.0, 1.0, calm);
+    assert!(fleet.net.told - told > 3000, "keepers are asked again");
+}
+
+/// A customer known to ask for ten times its quota is held to a few times that by chance, though nobody keeps its book.
+#[test]
+fn a_greedy_customer_gains_little_while_all_keepers_are_silent() {
+    let mut fleet = Fleet::new(20, 8);
+    fleet.play(60.0, 4.0, wide);
+    fleet.net.loss = 1.0;
+    let sent = f64::from(fleet.play(60.0, 6.0, wide));
+    let quota = 6.0 * 6.0;
+    assert!(sent <= 3.0 * quota, "{sent} units sent on, {quota} allowed, ten times as much asked for");
+}
+
 /// A customer of 100 limiters of 300: one in ten asks for three times its quota, one in five for nearly all of it.
 fn trading(id: RequestId) -> Request {
     // Requests come in turns of 200 slots for 100 customers.
