Name list updates, keep-alives and call policies as the field does; discovery's tests to a file

News is ListUpdate, Manner is CallPolicy, a beat is a keep-alive. The unit tests of discovery.rs stand unchanged in discovery/tests.rs. No change of behaviour.

--- a/marldeal/src/discovery.rs
+++ b/marldeal/src/discovery.rs
@@ -19,7 +19,7 @@
 
 use crate::driver::Driver;
 
-/// Beats come every 2 s. What a silent watch misses counts as told 6 s after it fell silent: it is given up soon
+/// Keep-alives come every 2 s. What a silent watch misses counts as told 6 s after it fell silent: it is given up soon
 /// enough for that, the longest wait of `ASKED` and an answer.
 const SILENCE: Duration = Duration::from_millis(2500);
 /// Longest list or change taken in.
@@ -27,7 +27,7 @@
 
 /// How discovery is called.
 #[derive(Clone, Copy)]
-struct Manner {
+struct CallPolicy {
     /// Longest wait for the head of an answer.
     answer: Duration,
     /// Bounds of the wait after a call, the first time and at the longest.
@@ -38,7 +38,7 @@
 
 /// Where lists are pushed, an agent on this machine answers at once and at no cost, and what it has counts as told:
 /// no time without a watch may be longer than the rules allow sends to a server that drains, 250 ms.
-const PUSHED: Manner = Manner {
+const PUSHED: CallPolicy = CallPolicy {
     answer: Duration::from_millis(200),
     wait: (Duration::from_millis(25), Duration::from_millis(50)),
     at_once: true,
@@ -46,7 +46,7 @@
 /// Where they are asked for: for a few limiters, and the parts of the waits for each limiter of a fleet. One
 /// discovery serves all: when it drops or fails all at once and they come back in step, each call waits behind calls
 /// that nobody waits for any more, and no watch is ever begun.
-const ASKED: Manner = Manner {
+const ASKED: CallPolicy = CallPolicy {
     answer: Duration::from_millis(4500),
     wait: (Duration::from_millis(50), Duration::from_millis(1000)),
     at_once: false,
@@ -56,14 +56,14 @@
 /// one that does not ask counts as told.
 const ASKED_MOST: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(10));
 
-impl Manner {
-    fn of(settings: &Settings) -> Manner {
+impl CallPolicy {
+    fn of(settings: &Settings) -> CallPolicy {
         if !settings.must_subscribe {
             return PUSHED;
         }
         let first = ASKED.wait.0.max(ASKED_EACH.0 * settings.limiters).min(ASKED_MOST.0);
         let longest = ASKED.wait.1.max(ASKED_EACH.1 * settings.limiters).min(ASKED_MOST.1);
-        Manner { wait: (first, longest), ..ASKED }
+        CallPolicy { wait: (first, longest), ..ASKED }
     }
 }
 
@@ -77,28 +77,28 @@
 }
 
 /// A list in the module's terms, with the servers' addresses.
-pub struct News {
+pub struct ListUpdate {
     /// All servers, not only changes.
     pub whole: bool,
     /// The servers and where they listen.
     pub entries: Vec<(ServerEntry, SocketAddr)>,
 }
 
-impl News {
+impl ListUpdate {
     /// The list that these changes make of another.
-    pub fn after(self, before: News) -> News {
+    pub fn after(self, before: ListUpdate) -> ListUpdate {
         if self.whole {
             return self;
         }
         let changed = |id: &ServerId| self.entries.iter().any(|(e, _)| e.server == *id);
         let mut entries: Vec<_> = before.entries.into_iter().filter(|(e, _)| !changed(&e.server)).collect();
         entries.extend(self.entries.into_iter().filter(|(e, _)| e.condition != Condition::Gone));
-        News { whole: true, entries }
+        ListUpdate { whole: true, entries }
     }
 }
 
 /// A list in the module's terms. One entry that makes no sense does not cost the others.
-pub fn news(list: List, driver: &Driver) -> News {
+pub fn update_of(list: List, driver: &Driver) -> ListUpdate {
     let entry = |value: &Value| {
         let entry = entry(value, |zone| driver.config.names.zone(zone).ok());
         if entry.is_none() {
@@ -106,7 +106,7 @@
         }
         entry
     };
-    News { whole: list.full, entries: list.servers.iter().filter_map(entry).collect() }
+    ListUpdate { whole: list.full, entries: list.servers.iter().filter_map(entry).collect() }
 }
 
 /// One server. The module's clock counts Unix time, so that starts need no conversion. A figure that cannot be read
@@ -189,19 +189,19 @@
 
 /// Exponential backoff with full jitter.
 struct BackOff {
-    manner: Manner,
+    policy: CallPolicy,
     wait: Duration,
     rng: fastrand::Rng,
 }
 
 impl BackOff {
-    fn new(manner: Manner, seed: u64) -> BackOff {
-        BackOff { manner, wait: manner.wait.0, rng: fastrand::Rng::with_seed(seed) }
+    fn new(policy: CallPolicy, seed: u64) -> BackOff {
+        BackOff { policy, wait: policy.wait.0, rng: fastrand::Rng::with_seed(seed) }
     }
 
     /// The wait after a watch that told something, or that did not.
     fn next(&mut self, told: bool) -> Duration {
-        let (first, longest) = self.manner.wait;
+        let (first, longest) = self.policy.wait;
         self.wait = if told { first } else { (self.wait * 2).min(longest) };
         self.wait.mul_f64(self.rng.f64())
     }
@@ -222,19 +222,19 @@
 /// unless there is a newer source by then.
 async fn keep(driver: Rc<Driver>, mut source: Source) {
     let seed = driver.config.seed ^ u64::from(source.number);
-    let manner = Manner::of(&driver.config.settings);
-    let mut back_off = BackOff::new(manner, seed);
+    let policy = CallPolicy::of(&driver.config.settings);
+    let mut back_off = BackOff::new(policy, seed);
     let mut last = None;
     loop {
         let before = source.version;
-        let why = follow(&driver, manner, &mut source).await;
+        let why = follow(&driver, policy, &mut source).await;
         if driver.sources.newest.get() != source.number {
             return driver.log(&format!("discovery: {why:?}; {} is watched no more", source.addr));
         }
         let told = source.version != before;
         let again = matches!(why, End::Bad(_)) && !told;
         let wait = back_off.next(told);
-        let wait = if manner.at_once && why == End::Silent { Duration::ZERO } else { wait };
+        let wait = if policy.at_once && why == End::Silent { Duration::ZERO } else { wait };
         // One that fails in the same way many times a second is told of once.
         if told || last.as_ref() != Some(&why) {
             driver.log(&format!("discovery: {why:?}; watching again"));
@@ -252,7 +252,7 @@
 }
 
 /// One watch, until it ends; says why.
-async fn follow(driver: &Rc<Driver>, manner: Manner, source: &mut Source) -> End {
+async fn follow(driver: &Rc<Driver>, policy: CallPolicy, source: &mut Source) -> End {
     let connect = async {
         let stream = TcpStream::connect(source.addr).await.map_err(|e| e.to_string())?;
         let (mut sender, connection) =
@@ -272,7 +272,7 @@
         }
         Ok((task, answer.into_body()))
     };
-    match timeout(manner.answer, connect).await {
+    match timeout(policy.answer, connect).await {
         Ok(Ok((_task, body))) => read(driver, body, source).await,
         Ok(Err(why)) => End::Broken(why),
         Err(_) => End::Silent,
@@ -287,7 +287,7 @@
     }
 }
 
-/// Reads what a watch tells. A beat within a list that goes no further is no sign of life.
+/// Reads what a watch tells. A keep-alive within a list that goes no further is no sign of life.
 async fn read(driver: &Rc<Driver>, mut body: Incoming, source: &mut Source) -> End {
     let mut objects = Objects::default();
     let mut end = Instant::now() + SILENCE;
@@ -317,7 +317,7 @@
                 Ok(list) => {
                     source.version = Some(list.version);
                     driver.sources.told.set(source.number);
-                    driver.servers(news(list, driver));
+                    driver.servers(update_of(list, driver));
                     end = Instant::now() + SILENCE;
                 }
                 // What it held is missing from now on: the watch begins anew where it was still whole.
@@ -385,133 +385,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// How discovery is asked by one of so many limiters.
-    fn asked(limiters: u32) -> Manner {
-        Manner::of(&Settings { must_subscribe: true, limiters, ..fleet_settings() })
-    }
-
-    fn fleet_settings() -> Settings {
-        Settings {
-            limiters: 300,
-            position: 0,
-            zone: 0,
-            classes: Vec::new(),
-            plans: Vec::new(),
-            round_ms: 1.0,
-            max_attempts: 1,
-            connect_timeout_ms: 250.0,
-            may_probe: false,
-            may_tell: false,
-            may_cancel: true,
-            may_advise: false,
-            messages_per_s: 0.0,
-            must_subscribe: false,
-            cold_share: 0.2,
-            cold_ms: 10_000.0,
-            fall_multiple: 3.0,
-            fall_ms: 2000.0,
-        }
-    }
-
-    /// The most calls of a fleet that fall into one second, when discovery drops all watches at once and then
-    /// answers nobody.
-    fn most_calls_in_a_second(limiters: u32) -> usize {
-        let mut calls = Vec::new();
-        for limiter in 0..limiters {
-            let mut back_off = BackOff::new(asked(limiters), u64::from(limiter));
-            let mut at = back_off.next(true);
-            while at < Duration::from_secs(20) {
-                calls.push(at);
-                at += back_off.next(false).max(Duration::from_millis(1));
-            }
-        }
-        let second = Duration::from_secs(1);
-        let within = |from: &Duration| calls.iter().filter(|c| **c >= *from && **c < *from + second).count();
-        calls.iter().map(within).max().unwrap_or(0)
-    }
-
-    /// Guards against a discovery that is kept overbooked by those it has failed.
-    #[test]
-    fn a_fleet_comes_back_to_discovery_spread_out() {
-        let most = most_calls_in_a_second(100);
-        assert!(
-            (10..=75).contains(&most),
-            "{most} calls in one second of 100 limiters that were dropped at once"
-        );
-    }
-
-    #[test]
-    fn a_few_limiters_come_back_soon() {
-        let mut back_off = BackOff::new(asked(4), 1);
-        assert!(back_off.next(true) <= Duration::from_millis(80));
-        assert!((0..20).all(|_| back_off.next(false) <= Duration::from_secs(1)));
-    }
-
-    /// The rules allow sends for 250 ms after the word that a server drains, and the agent counts as told whether or
-    /// not a watch is open: however large the fleet, no time without one may be that long.
-    #[test]
-    fn an_agent_is_called_again_at_once_whatever_the_fleet() {
-        let manner = Manner::of(&fleet_settings());
-        let mut back_off = BackOff::new(manner, 1);
-        let longest = (0..50).map(|_| back_off.next(false)).max().unwrap_or_default();
-        assert!(longest <= Duration::from_millis(50) && manner.at_once, "{longest:?}");
-        assert!(longest + manner.answer <= Duration::from_millis(250), "{:?}", manner.answer);
-    }
-
-    /// One clock for silence: 6 s after a watch fell silent what it missed counts as told, where it is asked for too.
-    #[test]
-    fn a_silent_watch_is_begun_anew_in_time_in_a_fleet_of_hundreds() {
-        let mut back_off = BackOff::new(asked(300), 1);
-        let longest = (0..50).map(|_| back_off.next(true)).max().unwrap_or_default();
-        assert!(SILENCE + longest <= Duration::from_millis(5000), "{longest:?}");
-    }
-
-    fn cut(text: &str, chunk: usize) -> Vec<String> {
-        let mut objects = Objects::default();
-        let mut all = Vec::new();
-        for part in text.as_bytes().chunks(chunk) {
-            objects.push(part);
-            while let Ok(Some(object)) = objects.next() {
-                all.push(String::from_utf8_lossy(&object).into_owned());
-            }
-        }
-        assert!(objects.between() || objects.next().is_err(), "{text:?} leaves a part");
-        all
-    }
-
-    #[test]
-    fn objects_are_cut_apart_however_they_are_laid_out() {
-        let one = "{\n  \"version\": 4,\n  \"servers\": [\n    { \"id\": \"a}\\\"{[\" }\n  ]\n}";
-        let text = format!("\n\n{one}\r\n\n{{\"version\":5,\"servers\":[]}}{one}\n");
-        for chunk in [1, 2, 3, 7, text.len()] {
-            assert_eq!(cut(&text, chunk), [one, "{\"version\":5,\"servers\":[]}", one], "chunks of {chunk}");
-        }
-        assert!(cut("null\n", 5).is_empty());
-        let mut endless = Objects::default();
-        endless.push(b"{");
-        endless.push(&vec![b' '; MOST_OBJECT]);
-        assert!(endless.next().is_err());
-    }
-
-    /// One figure that cannot be read must not keep a leaving server in the list, nor a good one out.
-    #[test]
-    fn an_entry_is_read_as_far_as_it_makes_sense() {
-        let read = |text: &str| entry(&serde_json::from_str(text).expect("JSON"), |_| Some(1));
-        let known =
-            read(r#"{"id":"s","addr":"127.0.0.1:1","state":"active","weight":"x","started_ms":null}"#);
-        let (known, _) = known.expect("an entry");
-        assert_eq!((known.weight, known.started, known.condition), (1.0, 0.0, Condition::Serving));
-        let gone = read(r#"{"id":"s","state":"left"}"#).expect("an entry").0;
-        assert_eq!((gone.condition, gone.zone), (Condition::Gone, u32::MAX));
-        let drains = read(r#"{"id":"s","addr":7,"state":"leaving","cell":-1}"#).expect("an entry").0;
-        assert_eq!(drains.condition, Condition::Draining);
-        for text in
-            ["7", "{}", r#"{"id":"s","state":"active","addr":"nowhere"}"#, r#"{"id":7,"state":"left"}"#]
-        {
-            assert!(read(text).is_none(), "{text}");
-        }
-    }
-}
+mod tests;
--- /dev/null
+++ b/marldeal/src/discovery/tests.rs
@@ -0,0 +1,125 @@
+use super::*;
+
+/// How discovery is asked by one of so many limiters.
+fn asked(limiters: u32) -> CallPolicy {
+    CallPolicy::of(&Settings { must_subscribe: true, limiters, ..fleet_settings() })
+}
+
+fn fleet_settings() -> Settings {
+    Settings {
+        limiters: 300,
+        position: 0,
+        zone: 0,
+        classes: Vec::new(),
+        plans: Vec::new(),
+        round_ms: 1.0,
+        max_attempts: 1,
+        connect_timeout_ms: 250.0,
+        may_probe: false,
+        may_tell: false,
+        may_cancel: true,
+        may_advise: false,
+        messages_per_s: 0.0,
+        must_subscribe: false,
+        cold_share: 0.2,
+        cold_ms: 10_000.0,
+        fall_multiple: 3.0,
+        fall_ms: 2000.0,
+    }
+}
+
+/// The most calls of a fleet that fall into one second, when discovery drops all watches at once and then
+/// answers nobody.
+fn most_calls_in_a_second(limiters: u32) -> usize {
+    let mut calls = Vec::new();
+    for limiter in 0..limiters {
+        let mut back_off = BackOff::new(asked(limiters), u64::from(limiter));
+        let mut at = back_off.next(true);
+        while at < Duration::from_secs(20) {
+            calls.push(at);
+            at += back_off.next(false).max(Duration::from_millis(1));
+        }
+    }
+    let second = Duration::from_secs(1);
+    let within = |from: &Duration| calls.iter().filter(|c| **c >= *from && **c < *from + second).count();
+    calls.iter().map(within).max().unwrap_or(0)
+}
+
+/// Guards against a discovery that is kept overbooked by those it has failed.
+#[test]
+fn a_fleet_comes_back_to_discovery_spread_out() {
+    let most = most_calls_in_a_second(100);
+    assert!(
+        (10..=75).contains(&most),
+        "{most} calls in one second of 100 limiters that were dropped at once"
+    );
+}
+
+#[test]
+fn a_few_limiters_come_back_soon() {
+    let mut back_off = BackOff::new(asked(4), 1);
+    assert!(back_off.next(true) <= Duration::from_millis(80));
+    assert!((0..20).all(|_| back_off.next(false) <= Duration::from_secs(1)));
+}
+
+/// The rules allow sends for 250 ms after the word that a server drains, and the agent counts as told whether or
+/// not a watch is open: however large the fleet, no time without one may be that long.
+#[test]
+fn an_agent_is_called_again_at_once_whatever_the_fleet() {
+    let policy = CallPolicy::of(&fleet_settings());
+    let mut back_off = BackOff::new(policy, 1);
+    let longest = (0..50).map(|_| back_off.next(false)).max().unwrap_or_default();
+    assert!(longest <= Duration::from_millis(50) && policy.at_once, "{longest:?}");
+    assert!(longest + policy.answer <= Duration::from_millis(250), "{:?}", policy.answer);
+}
+
+/// One clock for silence: 6 s after a watch fell silent what it missed counts as told, where it is asked for too.
+#[test]
+fn a_silent_watch_is_begun_anew_in_time_in_a_fleet_of_hundreds() {
+    let mut back_off = BackOff::new(asked(300), 1);
+    let longest = (0..50).map(|_| back_off.next(true)).max().unwrap_or_default();
+    assert!(SILENCE + longest <= Duration::from_millis(5000), "{longest:?}");
+}
+
+fn cut(text: &str, chunk: usize) -> Vec<String> {
+    let mut objects = Objects::default();
+    let mut all = Vec::new();
+    for part in text.as_bytes().chunks(chunk) {
+        objects.push(part);
+        while let Ok(Some(object)) = objects.next() {
+            all.push(String::from_utf8_lossy(&object).into_owned());
+        }
+    }
+    assert!(objects.between() || objects.next().is_err(), "{text:?} leaves a part");
+    all
+}
+
+#[test]
+fn objects_are_cut_apart_however_they_are_laid_out() {
+    let one = "{\n  \"version\": 4,\n  \"servers\": [\n    { \"id\": \"a}\\\"{[\" }\n  ]\n}";
+    let text = format!("\n\n{one}\r\n\n{{\"version\":5,\"servers\":[]}}{one}\n");
+    for chunk in [1, 2, 3, 7, text.len()] {
+        assert_eq!(cut(&text, chunk), [one, "{\"version\":5,\"servers\":[]}", one], "chunks of {chunk}");
+    }
+    assert!(cut("null\n", 5).is_empty());
+    let mut endless = Objects::default();
+    endless.push(b"{");
+    endless.push(&vec![b' '; MOST_OBJECT]);
+    assert!(endless.next().is_err());
+}
+
+/// One figure that cannot be read must not keep a leaving server in the list, nor a good one out.
+#[test]
+fn an_entry_is_read_as_far_as_it_makes_sense() {
+    let read = |text: &str| entry(&serde_json::from_str(text).expect("JSON"), |_| Some(1));
+    let known = read(r#"{"id":"s","addr":"127.0.0.1:1","state":"active","weight":"x","started_ms":null}"#);
+    let (known, _) = known.expect("an entry");
+    assert_eq!((known.weight, known.started, known.condition), (1.0, 0.0, Condition::Serving));
+    let gone = read(r#"{"id":"s","state":"left"}"#).expect("an entry").0;
+    assert_eq!((gone.condition, gone.zone), (Condition::Gone, u32::MAX));
+    let drains = read(r#"{"id":"s","addr":7,"state":"leaving","cell":-1}"#).expect("an entry").0;
+    assert_eq!(drains.condition, Condition::Draining);
+    for text in ["7", "{}", r#"{"id":"s","state":"active","addr":"nowhere"}"#, r#"{"id":7,"state":"left"}"#] {
+        assert!(read(text).is_none(), "{text}");
+    }
+}
--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -15,7 +15,7 @@
 use tokio::sync::{oneshot, Notify};
 
 use crate::config::Config;
-use crate::discovery::{self, News, Sources};
+use crate::discovery::{self, ListUpdate, Sources};
 use crate::peers;
 use crate::servers::{self, End, Pool};
 
@@ -148,7 +148,7 @@
     whole_wanted: Cell<bool>,
     told: Cell<bool>,
     /// The list of an earlier time, until discovery has told what has changed or has had its chance.
-    earlier: Cell<Option<News>>,
+    earlier: Cell<Option<ListUpdate>>,
     draining: Cell<bool>,
     clock: Clock,
     mail: Option<Rc<UdpSocket>>,
@@ -198,7 +198,7 @@
             timers_changed: Notify::new(),
         });
         if let Some(known) = driver.config.known.clone() {
-            let earlier = News { whole: true, ..discovery::news(known, &driver) };
+            let earlier = ListUpdate { whole: true, ..discovery::update_of(known, &driver) };
             // What the agent has counts as told from the first moment: until it is heard, nothing may be sent by an
             // older list. Where lists are asked for, only what was heard is told.
             if driver.config.settings.must_subscribe {
@@ -272,29 +272,29 @@
         self.work(&mut state);
     }
 
-    /// Discovery's news.
-    pub fn servers(self: &Rc<Self>, news: News) {
+    /// What discovery tells of the servers.
+    pub fn servers(self: &Rc<Self>, update: ListUpdate) {
         self.told.set(true);
-        let news = match self.earlier.take() {
-            Some(earlier) => news.after(earlier),
-            None => news,
+        let update = match self.earlier.take() {
+            Some(earlier) => update.after(earlier),
+            None => update,
         };
-        self.apply(news);
+        self.apply(update);
     }
 
-    fn apply(self: &Rc<Self>, news: News) {
+    fn apply(self: &Rc<Self>, update: ListUpdate) {
         let mut state = self.state.borrow_mut();
-        if news.whole {
+        if update.whole {
             let mut pool = self.pool.borrow_mut();
             state.servers.retain(|id, _| {
-                let stays = news.entries.iter().any(|(e, _)| e.server == *id);
+                let stays = update.entries.iter().any(|(e, _)| e.server == *id);
                 if !stays {
                     pool.drop_idle(id);
                 }
                 stays
             });
         }
-        for (entry, addr) in &news.entries {
+        for (entry, addr) in &update.entries {
             let takes = entry.condition == Condition::Serving;
             let gone = entry.condition == Condition::Gone;
             let old = if gone {
@@ -303,11 +303,11 @@
                 let known = Known { addr: *addr, takes, started: entry.started };
                 state.servers.insert(entry.server.clone(), known)
             };
-            let news = match &old {
+            let changed = match &old {
                 Some(old) => gone || old.takes != takes || old.addr != *addr,
                 None => !gone,
             };
-            if news {
+            if changed {
                 self.log(&format!("server {} at {addr}: {:?}", entry.server, entry.condition));
             }
             // What was open to a process that has started again since is of no use, also where it looks alive.
@@ -315,8 +315,8 @@
                 self.pool.borrow_mut().drop_idle(&entry.server);
             }
         }
-        let entries = news.entries.into_iter().map(|(e, _)| e).collect();
-        state.events.push_back(Event::Servers { whole: news.whole, entries });
+        let entries = update.entries.into_iter().map(|(e, _)| e).collect();
+        state.events.push_back(Event::Servers { whole: update.whole, entries });
         self.work(&mut state);
     }
 
