Look for a client's end at its socket once its request has been read

Cause: a client that asked and left while it waited to be accepted was not seen to have gone. tokio takes an accepted stream to be readable (net/tcp/stream.rs, assume_ready); hyper's first read gets the request, and being short clears that readiness before epoll has told of the end. poll_left then waits, and on a kept connection to a server the attempt is written before the reactor has its turn (servers.rs, exchange: no await before the check). Change: the first look for the end of an open request's client reads the socket itself (socket2, which tokio has anyway), later ones wait for readiness as before. One more call of the system a request.

--- a/marldeal/src/clients.rs
+++ b/marldeal/src/clients.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::future::{poll_fn, Future};
-use std::io;
+use std::io::{self, Read};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -19,6 +19,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -81,6 +82,8 @@
     reading: Cell<bool>,
     /// It has come whole, and its answer is awaited.
     waiting: Cell<bool>,
+    /// Whether its client has left by then has been looked at.
+    looked: Cell<bool>,
     /// The answer is there, and not written to its end.
     writing: Cell<bool>,
     /// More came behind an open request than is kept.
@@ -101,6 +104,7 @@
             busy: Cell::new(false),
             reading: Cell::new(false),
             waiting: Cell::new(false),
+            looked: Cell::new(false),
             writing: Cell::new(false),
             overrun: Cell::new(false),
             used: Cell::new(now),
@@ -161,23 +165,38 @@
 }
 
 /// Waits for a client to leave while its request is open. hyper reads no further than to the first bytes behind an
-/// open request, so that it would never see the end behind them.
+/// open request, so that it would never see the end behind them. The first look goes to the socket itself: a client
+/// that has waited for long to be accepted may have left before its request was read. tokio takes a new stream to be
+/// readable, and not to be after the first short read, before it has heard of the end from the system.
 fn poll_left(ahead: &RefCell<Ahead>, client: &Client, cx: &mut Context<'_>) -> Poll<()> {
     let mut some = [0; 4096];
     while client.waiting.get() {
         let ahead = &mut *ahead.borrow_mut();
-        let mut to = ReadBuf::new(&mut some);
-        match Pin::new(&mut ahead.stream).poll_read(cx, &mut to) {
-            Poll::Ready(Ok(())) if !to.filled().is_empty() => {
+        let read = if client.looked.get() {
+            let mut to = ReadBuf::new(&mut some);
+            match Pin::new(&mut ahead.stream).poll_read(cx, &mut to) {
+                Poll::Ready(done) => done.map(|()| to.filled().len()),
+                Poll::Pending => break,
+            }
+        } else {
+            match (&*SockRef::from(&ahead.stream)).read(&mut some) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    client.looked.set(true);
+                    continue;
+                }
+                read => read,
+            }
+        };
+        match read {
+            Ok(length) if length > 0 => {
                 client.heard();
-                if ahead.bytes.len() + to.filled().len() > MOST_AHEAD {
+                if ahead.bytes.len() + length > MOST_AHEAD {
                     client.overrun.set(true);
                 } else if !client.overrun.get() {
-                    ahead.bytes.extend_from_slice(to.filled());
+                    ahead.bytes.extend_from_slice(&some[..length]);
                 }
             }
-            Poll::Ready(_) => return Poll::Ready(()),
-            Poll::Pending => break,
+            _ => return Poll::Ready(()),
         }
     }
     Poll::Pending
@@ -438,6 +457,7 @@
     };
     let waiting = Waiting { driver, id };
     client.waiting.set(true);
+    client.looked.set(false);
     let answer = answered.await;
     client.waiting.set(false);
     drop(waiting);
