Call discovery again within 4 s of the last call, whatever failed before

Cause, where lists are asked for: a change counts as told 6 s after discovery had it and could be reached. Change: a head is waited for 2.5 s; from the beginning of a failed call to that of the next it takes at most 4 s, which leaves 2 s for the answer. Half of a wait after a failure is drawn, all of it after a watch that lived, so that nothing goes in step; the version is resumed as before. A watch that lived and dropped no longer counts as failed for having told nothing new. Calls a second at the worst, all watches dropped at once and each call refused at once: 300 limiters 160 in the first second, 500 about 265 (drawn over 2 s), later their number over 3 s, 100 and 167 (tests: bounds 170 and 280). The bound rests on the least wait of half of 4 s; a discovery that lets calls wait gets fewer.

--- a/marldeal/src/discovery.rs
+++ b/marldeal/src/discovery.rs
@@ -47,14 +47,16 @@
 /// discovery serves all: when it drops or fails all at once and they come back in step, each call waits behind calls
 /// that nobody waits for any more, and no watch is ever begun.
 const ASKED: CallPolicy = CallPolicy {
-    answer: Duration::from_millis(4500),
+    answer: Duration::from_millis(2500),
     wait: (Duration::from_millis(50), Duration::from_millis(1000)),
     at_once: false,
 };
 const ASKED_EACH: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(100));
-/// The longest that these grow to: the first for the clock of `SILENCE`, the other for the settings' time after which
-/// one that does not ask counts as told.
-const ASKED_MOST: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(10));
+/// The longest that these grow to: the first for the clock of `SILENCE`, the other for the clock of a change. That
+/// counts as told 6 s after discovery had it and could be reached, whatever failed before: from the beginning of one
+/// call to that of the next it takes no longer than this, which leaves 2 s for the answer. A fleet whose calls all
+/// fail makes its number over three quarters of this a second.
+const ASKED_MOST: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(4));
 
 impl CallPolicy {
     fn of(settings: &Settings) -> CallPolicy {
@@ -187,7 +189,7 @@
     }
 }
 
-/// Exponential backoff with full jitter.
+/// Exponential backoff with jitter.
 struct BackOff {
     policy: CallPolicy,
     wait: Duration,
@@ -199,11 +201,16 @@
         BackOff { policy, wait: policy.wait.0, rng: fastrand::Rng::with_seed(seed) }
     }
 
-    /// The wait after a watch that told something, or that did not.
-    fn next(&mut self, told: bool) -> Duration {
+    /// The wait after a watch that told something, with full jitter; or after one that did not and took so long, with
+    /// half of the wait for certain: what calls again too soon would only wait behind the others.
+    fn next(&mut self, told: bool, took: Duration) -> Duration {
         let (first, longest) = self.policy.wait;
-        self.wait = if told { first } else { (self.wait * 2).min(longest) };
-        self.wait.mul_f64(self.rng.f64())
+        if told {
+            self.wait = first;
+            return first.mul_f64(self.rng.f64());
+        }
+        self.wait = (self.wait * 2).min(longest);
+        self.wait.min(longest.saturating_sub(took)).mul_f64(1.0 - 0.5 * self.rng.f64())
     }
 }
 
@@ -226,14 +233,20 @@
     let mut back_off = BackOff::new(policy, seed);
     let mut last = None;
     loop {
-        let before = source.version;
-        let why = follow(&driver, policy, &mut source).await;
+        let (before, began) = (source.version, Instant::now());
+        let (why, answered) = match call(policy, &source).await {
+            Ok((_task, body)) => (read(&driver, body, &mut source).await, true),
+            Err(why) => (why, false),
+        };
         if driver.sources.newest.get() != source.number {
             return driver.log(&format!("discovery: {why:?}; {} is watched no more", source.addr));
         }
         let told = source.version != before;
         let again = matches!(why, End::Bad(_)) && !told;
-        let wait = back_off.next(told);
+        let took = began.elapsed();
+        // A watch that fell silent has its own clock, whatever it told; one that broke soon is as good as none.
+        let lived = answered && (why == End::Silent || took > policy.wait.1);
+        let wait = back_off.next(told || lived, if answered { Duration::ZERO } else { took });
         let wait = if policy.at_once && why == End::Silent { Duration::ZERO } else { wait };
         // One that fails in the same way many times a second is told of once.
         if told || last.as_ref() != Some(&why) {
@@ -251,8 +264,8 @@
     }
 }
 
-/// One watch, until it ends; says why.
-async fn follow(driver: &Rc<Driver>, policy: CallPolicy, source: &mut Source) -> End {
+/// Calls for a watch; the connection's task ends with what is returned.
+async fn call(policy: CallPolicy, source: &Source) -> Result<(Abort, Incoming), End> {
     let connect = async {
         let stream = TcpStream::connect(source.addr).await.map_err(|e| e.to_string())?;
         let (mut sender, connection) =
@@ -273,9 +286,8 @@
         Ok((task, answer.into_body()))
     };
     match timeout(policy.answer, connect).await {
-        Ok(Ok((_task, body))) => read(driver, body, source).await,
-        Ok(Err(why)) => End::Broken(why),
-        Err(_) => End::Silent,
+        Ok(answer) => answer.map_err(End::Broken),
+        Err(_) => Err(End::Silent),
     }
 }
 
--- a/marldeal/src/discovery/tests.rs
+++ b/marldeal/src/discovery/tests.rs
@@ -34,10 +34,10 @@
     let mut calls = Vec::new();
     for limiter in 0..limiters {
         let mut back_off = BackOff::new(asked(limiters), u64::from(limiter));
-        let mut at = back_off.next(true);
+        let mut at = back_off.next(true, Duration::ZERO);
         while at < Duration::from_secs(20) {
             calls.push(at);
-            at += back_off.next(false).max(Duration::from_millis(1));
+            at += back_off.next(false, Duration::ZERO).max(Duration::from_millis(1));
         }
     }
     let second = Duration::from_secs(1);
@@ -58,8 +58,8 @@
 #[test]
 fn a_few_limiters_come_back_soon() {
     let mut back_off = BackOff::new(asked(4), 1);
-    assert!(back_off.next(true) <= Duration::from_millis(80));
-    assert!((0..20).all(|_| back_off.next(false) <= Duration::from_secs(1)));
+    assert!(back_off.next(true, Duration::ZERO) <= Duration::from_millis(80));
+    assert!((0..20).all(|_| back_off.next(false, Duration::ZERO) <= Duration::from_secs(1)));
 }
 
 /// The rules allow sends for 250 ms after the word that a server drains, and the agent counts as told whether or
@@ -68,7 +68,7 @@
 fn an_agent_is_called_again_at_once_whatever_the_fleet() {
     let policy = CallPolicy::of(&fleet_settings());
     let mut back_off = BackOff::new(policy, 1);
-    let longest = (0..50).map(|_| back_off.next(false)).max().unwrap_or_default();
+    let longest = (0..50).map(|_| back_off.next(false, Duration::ZERO)).max().unwrap_or_default();
     assert!(longest <= Duration::from_millis(50) && policy.at_once, "{longest:?}");
     assert!(longest + policy.answer <= Duration::from_millis(250), "{:?}", policy.answer);
 }
@@ -77,10 +77,54 @@
 #[test]
 fn a_silent_watch_is_begun_anew_in_time_in_a_fleet_of_hundreds() {
     let mut back_off = BackOff::new(asked(300), 1);
-    let longest = (0..50).map(|_| back_off.next(true)).max().unwrap_or_default();
+    let longest = (0..50).map(|_| back_off.next(true, Duration::ZERO)).max().unwrap_or_default();
     assert!(SILENCE + longest <= Duration::from_millis(5000), "{longest:?}");
 }
 
+/// A change counts as told 6 s after discovery had it and could be reached, whatever failed before: refused at once,
+/// turned away after a wait, or never answered. From the beginning of a call to that of the next it takes at most 4 s,
+/// so that 2 s are left for the answer.
+#[test]
+fn a_change_is_heard_in_time_whatever_failed_before() {
+    for limiters in [4, 40, 300, 500] {
+        let policy = asked(limiters);
+        for took in [Duration::ZERO, Duration::from_secs(2), policy.answer] {
+            let mut back_off = BackOff::new(policy, 1);
+            let longest = (0..200).map(|_| back_off.next(false, took)).max().unwrap_or_default();
+            assert!(
+                took + longest <= Duration::from_secs(4),
+                "{limiters} limiters: {took:?} and {longest:?}"
+            );
+        }
+    }
+}
+
+/// What one discovery gets at the worst: all watches drop at once, and then every call is refused at once.
+#[test]
+fn the_calls_of_hundreds_are_bounded() {
+    for (limiters, bound) in [(300, 170), (500, 280)] {
+        let most = most_calls_in_a_second(limiters);
+        assert!(most <= bound, "{most} calls in one second of {limiters} limiters");
+    }
+}
+
+/// After failures no two limiters of a fleet call in step: half of each wait is drawn.
+#[test]
+fn calls_after_failures_are_not_in_step() {
+    let waits: std::collections::BTreeSet<Duration> = (0..300)
+        .map(|seed| {
+            let mut back_off = BackOff::new(asked(300), seed);
+            back_off.next(false, Duration::from_secs(2))
+        })
+        .collect();
+    let spread = *waits.last().expect("some") - *waits.first().expect("some");
+    assert!(
+        waits.len() > 250 && spread > Duration::from_millis(800),
+        "{} waits over {spread:?}",
+        waits.len()
+    );
+}
+
 fn cut(text: &str, chunk: usize) -> Vec<String> {
     let mut objects = Objects::default();
     let mut all = Vec::new();
