--- a/marldeal/src/config.rs
+++ b/marldeal/src/config.rs
@@ -21,7 +21,7 @@
     #[serde(default)]
     peers: Vec<SocketAddr>,
     peers_all: Option<SocketAddr>,
-    known: Option<List>,
+    known: Option<serde_json::Value>,
     settings: Setup,
 }
 
@@ -84,6 +84,12 @@
 const MOST_UNITS: f64 = 1000.0;
 /// Memory that one connection may hold at most, for the bound on their number.
 const CONNECTION_MB: f64 = 0.15;
+/// Descriptors that no client or server may take: the three standard streams, two for events and one that wakes, three
+/// for signals, the listener, the peers' socket, the watches on the old and the new discovery, the configuration as it
+/// is read again, a client that is being accepted; and one to spare.
+const OWN_DESCRIPTORS: usize = 16;
+/// Connections that the limits have to leave room for.
+const LEAST_CONNECTIONS: usize = 48;
 
 /// SIGKILL comes no sooner than the longest deadline, or this if that is less, and a while more after SIGTERM.
 const MOST_DEADLINE_MS: f64 = 3000.0;
@@ -145,10 +151,15 @@
         let most_units = file.settings.domain.units_top.unwrap_or(MOST_UNITS);
         let (settings, names) = wire::settings(file.settings).map_err(|e| format!("settings: {e}"))?;
         let by_memory = file.limits.memory_mb / CONNECTION_MB;
-        let all = file.limits.sockets.min(by_memory.max(0.0) as usize);
-        if all < 64 {
-            return Err(format!("limits leave room for {all} connections, 64 at least are needed"));
+        let by_sockets = file.limits.sockets.saturating_sub(OWN_DESCRIPTORS);
+        let all = by_sockets.min(by_memory.max(0.0) as usize);
+        if all < LEAST_CONNECTIONS {
+            return Err(format!(
+                "limits leave room for {all} connections, {LEAST_CONNECTIONS} at least are needed"
+            ));
         }
+        // A list that cannot be read is as good as none: discovery tells the whole one.
+        let known = file.known.and_then(|list| serde_json::from_value(list).ok());
         Ok(Config {
             name,
             listen,
@@ -159,7 +170,7 @@
             peer_listen: file.peer_listen,
             peers: file.peers,
             peers_all: file.peers_all,
-            known: file.known,
+            known,
             idle_ms: server_idle * IDLE_PART,
             drain_ms,
             end_ms,
--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -147,6 +147,8 @@
     pub list_wanted: Notify,
     whole_wanted: Cell<bool>,
     told: Cell<bool>,
+    /// A server that takes work has been told of.
+    had_server: Cell<bool>,
     /// The list of an earlier time, until discovery has told what has changed or has had its chance.
     earlier: Cell<Option<ListUpdate>>,
     draining: Cell<bool>,
@@ -160,6 +162,9 @@
 /// are pushed, an agent on this machine answers at once, unless it knows nothing.
 const UNTOLD_MS: f64 = 2000.0;
 const UNTOLD_PUSHED_MS: f64 = 500.0;
+/// A new process is ready by then, whatever discovery or the list of the start say: a fleet that has been started again
+/// while discovery is down has to answer its clients, if only with advice on when to come back.
+const READY_MS: f64 = 5000.0;
 
 fn micros(ms: f64) -> u64 {
     (ms * 1000.0).ceil() as u64
@@ -190,6 +195,7 @@
             list_wanted: Notify::new(),
             whole_wanted: Cell::new(false),
             told: Cell::new(false),
+            had_server: Cell::new(false),
             earlier: Cell::new(None),
             draining: Cell::new(false),
             clock,
@@ -239,13 +245,14 @@
     }
 
     /// A request could be served: a server takes work, discovery has spoken or had its chance, and the module is
-    /// ready to let requests in.
+    /// ready to let requests in. One that was never told of a server is ready after a while all the same.
     pub fn ready(&self) -> bool {
-        let told = self.told.get() || self.clock.began.elapsed().as_secs_f64() * 1000.0 > self.untold_ms();
+        let age_ms = self.clock.began.elapsed().as_secs_f64() * 1000.0;
+        let told = self.told.get() || age_ms > self.untold_ms();
         let state = self.state.borrow();
-        told && !self.draining.get()
-            && state.servers.values().any(|s| s.takes)
-            && state.limiter.settled(self.now())
+        let serves = state.servers.values().any(|s| s.takes) && state.limiter.settled(self.now());
+        let waited = !self.had_server.get() && age_ms > READY_MS;
+        !self.draining.get() && (waited || (told && serves))
     }
 
     /// Reads the configuration again; of what it says only where discovery is can change while serving. One
@@ -296,6 +303,7 @@
         }
         for (entry, addr) in &update.entries {
             let takes = entry.condition == Condition::Serving;
+            self.had_server.set(self.had_server.get() || takes);
             let gone = entry.condition == Condition::Gone;
             let old = if gone {
                 state.servers.remove(&entry.server)
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -142,7 +142,7 @@
                     self.pump(out);
                 }
             }
-            Event::ClientGone { id } => drop(self.close(id, out)),
+            Event::ClientGone { id } => self.on_client_gone(id, out),
             Event::Ending { by } => self.on_ending(by, out),
             Event::Wake { token } => self.on_wake(token, out),
             Event::Heard { from, body } => self.on_heard(from, &body, out),
@@ -186,6 +186,15 @@
         }
     }
 
+    /// Nothing is owed any more, and what a server does for it is of no use: it holds a connection and slots for
+    /// as long as a server that hangs likes.
+    fn on_client_gone(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(request) = self.close(id, out) else { return };
+        if request.out && self.settings.may_cancel {
+            out.push(Action::Cancel { id, attempt: request.attempts - 1 });
+        }
+    }
+
     /// An answer after the end is none: what would outlast it is given up in time.
     fn on_ending(&mut self, by: Millis, out: &mut Vec<Action>) {
         self.ends = by;
