Take the steps of the end one after another, and read what came before each

Cause: clients::serve took its three steps (graceful shutdown, close of the listener, return; old lines 278-294) by the time since SIGTERM alone. A process without CPU across them took all in one iteration. SIGSTOP breaks off epoll_wait (EINTR) and tokio then runs the timers with no I/O event, so that reads and poll_accept were not even tried (old waiting_to_be_accepted, 331-337): the accept queue was reset, requests on open connections were dropped. Connection::cut had the same order (old line 381).

Change: each step counts from the moment at which the one before it was really taken; DRAIN_MOST stays the last bound. Before the shutdown and before the return the I/O driver turns and the woken connections read (read_all_that_came); before the listener closes its accept queue is looked at until two turns of the driver brought nothing. An error of one accept no longer ends that. A connection made less than 100 ms before the shutdown that has asked nothing is left to send its request. A cut waits for one turn of the driver. What hyper guarantees after graceful_shutdown is told at Clients::shut_down.

That the machine paused is inferred, not shown.

--- a/marldeal/src/clients.rs
+++ b/marldeal/src/clients.rs
@@ -60,7 +60,8 @@
 const DISCARD_TIME: Duration = Duration::from_secs(1);
 /// When no more requests are taken: one that asks nothing is closed.
 const DRAIN_IDLE: Duration = Duration::from_millis(500);
-/// A request that crosses the end of a kept connection comes once more on a new one: these are taken for so much longer.
+/// A request that races with the end of its keep-alive connection comes once more on a new one: these are accepted for
+/// so much longer.
 const RESENT: Duration = Duration::from_millis(200);
 /// Left to those accepted last to be read.
 const LAST_ACCEPTED: Duration = Duration::from_millis(50);
@@ -88,7 +89,7 @@
     used: Cell<Instant>,
     /// When the request that has not come whole began; a new connection owes one from the start.
     begun: Cell<Option<Instant>>,
-    /// Close between requests.
+    /// Shut down gracefully.
     close: Notify,
     /// Close at once.
     cut: Notify,
@@ -255,9 +256,37 @@
             client.cut.notify_one();
         }
     }
+
+    /// Begins the graceful shutdown of all connections. hyper (1.12, `Conn::disable_keep_alive` and `Dispatcher` of
+    /// `proto/h1`) then does one of three things. One that rests between requests is closed for reading and writing in
+    /// the call itself, whatever the kernel has for it: nothing of that is read, let alone sent on, and the client
+    /// sends it again. So is a new one of which nothing has been read. In any other an exchange is open, or the head of
+    /// its first request half read: that is read and answered to its end, with `Connection: close`; after it nothing
+    /// is read as a request any more. So no request is taken whose answer could not be written.
+    ///
+    /// A connection that was made just now has a request on its way: it is left alone, and ends with its answer.
+    fn shut_down(&self) {
+        self.closing.set(true);
+        let new =
+            |c: &Client| !c.busy.get() && c.begun.get().is_some() && c.used.get().elapsed() < EVICT_SILENT;
+        self.all.borrow().values().filter(|c| !new(c)).for_each(|c| c.close.notify_one());
+    }
+}
+
+/// Lets everything that has come be read. After a stall (no CPU for a while) the timers go first: a wait for I/O that a
+/// stop broke off tells of no events, and tokio tries no read or accept before an event has told of it. Each yield of
+/// this runs the I/O driver once and no more than 61 of the tasks that were woken, hence the number.
+async fn read_all_that_came(clients: &Clients) {
+    let turns = 4 + clients.all.borrow().len() / 16;
+    for _ in 0..turns {
+        tokio::task::yield_now().await;
+    }
 }
 
-/// Accepts and serves until `stop`, then finishes what was taken and returns.
+/// Accepts and serves until `stop`, then finishes what was taken and returns. The end has three steps: the graceful
+/// shutdown of the connections, the close of the listener, the return. Each counts from the moment at which the one
+/// before it was really taken, not from the signal: in a process that stalled across them all would else go at once,
+/// and what came meanwhile would be lost.
 pub async fn serve(driver: &Rc<Driver>, listener: TcpListener, stop: impl Future<Output = &'static str>) {
     let clients = Rc::new(Clients::default());
     let sweeping = clients.clone();
@@ -269,30 +298,39 @@
     let mut failing = false;
     tokio::pin!(stop);
     let mut stopped: Option<Instant> = None;
+    let mut shut_down: Option<Instant> = None;
+    let mut refusing: Option<Instant> = None;
+    let over = |since: Option<Instant>, time| since.is_some_and(|at| at.elapsed() >= time);
     loop {
         let room = clients.all.borrow().len() < driver.config.most_clients;
         if !room {
             clients.evict();
         }
         let tick = stopped.is_some() || !room;
-        if let Some(at) = stopped.filter(|at| at.elapsed() >= serving) {
-            if !clients.closing.replace(true) {
-                clients.all.borrow().values().for_each(|c| c.close.notify_one());
-            }
-            let refusing = serving + RESENT;
-            if let Some(listener) = listener.take_if(|_| at.elapsed() >= refusing) {
-                // What connected before this and was not accepted yet has been taken, perhaps with a request.
-                for _ in 0..driver.config.most_clients {
-                    let Some(stream) = waiting_to_be_accepted(&listener).await else { break };
-                    number += 1;
-                    open(driver, &clients, number, stream);
-                }
+        if shut_down.is_none() && over(stopped, serving) {
+            read_all_that_came(&clients).await;
+            clients.shut_down();
+            shut_down = Some(Instant::now());
+        }
+        if let Some(listener) = listener.take_if(|_| over(shut_down, RESENT)) {
+            // What waits in the accept queue has been taken, perhaps with a request.
+            for _ in 0..driver.config.most_clients {
+                let Some(stream) = next_in_accept_queue(&listener).await else { break };
+                number += 1;
+                open(driver, &clients, number, stream);
             }
-            let over = at.elapsed() >= refusing + LAST_ACCEPTED && !clients.owe();
-            if over || at.elapsed() >= DRAIN_MOST {
+            drop(listener);
+            refusing = Some(Instant::now());
+        }
+        if over(refusing, LAST_ACCEPTED) && !clients.owe() {
+            read_all_that_came(&clients).await;
+            if !clients.owe() {
                 return;
             }
         }
+        if over(stopped, DRAIN_MOST) {
+            return;
+        }
         let accept = async {
             match &listener {
                 Some(listener) => listener.accept().await,
@@ -327,13 +365,18 @@
     }
 }
 
-/// A connection that is there to be accepted at this moment.
-async fn waiting_to_be_accepted(listener: &TcpListener) -> Option<TcpStream> {
-    poll_fn(|cx| match listener.poll_accept(cx) {
-        Poll::Ready(Ok((stream, _))) => Poll::Ready(Some(stream)),
-        _ => Poll::Ready(None),
-    })
-    .await
+/// A connection of the accept queue, if there is one. Nothing is tried while tokio does not know that there is, or has
+/// let this task work for long enough (128 accepts in a row): then it looks once more, after a turn of the I/O driver.
+async fn next_in_accept_queue(listener: &TcpListener) -> Option<TcpStream> {
+    let mut looks = 0;
+    loop {
+        match poll_fn(|cx| Poll::Ready(listener.poll_accept(cx))).await {
+            Poll::Ready(Ok((stream, _))) => return Some(stream),
+            _ if looks == 2 => return None,
+            _ => looks += 1,
+        }
+        tokio::task::yield_now().await;
+    }
 }
 
 fn open(driver: &Rc<Driver>, clients: &Rc<Clients>, number: u64, stream: TcpStream) {
@@ -377,8 +420,11 @@
             biased;
             // An error here is the client's: it left, or sent what is no HTTP.
             _ = &mut serving => return,
-            // A request that came in between the word to cut and this has been taken: it stays.
-            () = client.cut.notified() => if client.may_be_cut() { return },
+            // A request that came before this is taken first: after a stall that may need a turn of the I/O driver.
+            // Then the connection stays; a word to cut that is lost to another branch comes again.
+            () = async { client.cut.notified().await; tokio::task::yield_now().await } => {
+                if client.may_be_cut() { return }
+            }
             () = poll_fn(|cx| poll_left(&ahead, client, cx)) => return,
             () = client.close.notified(), if !closing => {
                 closing = true;
