Bound what all limiters together send to a cold server, for the sum and not on average

Cause: (1) each limiter drew by its own lot whether it warms a server, so that the number drawn spreads and a limiter that starts again draws anew, with a saved-up send (servers.rs, on_servers). (2) The pace that guides the ramp counted all sends, also to servers that had drained since, were cold, or turned them away, over the warm ones that are left (policy.rs, step): with 16 to 22 of 24 servers replaced it came to many times what a server can do. Change: the warming set is the first twelve by a hash of server, start and position, the same for everyone and after a start; the pace is what warm servers in service are seen to answer well; stores are filled with each step; all together send three quarters of what the settings allow. A limiter that has started after the server begins with none saved. The accept queue holds 1,024, as far as the system lets it: with 128 a stall of a moment cost the 130th client a second.

--- a/marldeal/src/main.rs
+++ b/marldeal/src/main.rs
@@ -9,10 +9,12 @@
 mod peers;
 mod servers;
 
+use std::io;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::runtime::{Builder, LocalOptions};
 use tokio::signal::unix::{signal, SignalKind};
 
@@ -30,6 +32,17 @@
     }
 }
 
+/// Connections that may wait to be accepted, as far as the system allows. Beyond it the first bytes of a connection are
+/// dropped, and come again after 1 s: a process that stalls for a moment must not cost its clients that.
+const ACCEPT_QUEUE: u32 = 1024;
+
+fn listen(at: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(at)?;
+    socket.listen(ACCEPT_QUEUE)
+}
+
 /// Serves until SIGTERM or SIGINT, then finishes what was taken.
 async fn run() -> Result<(), String> {
     // Before all else: until it is handled, a SIGHUP ends the program.
@@ -37,9 +50,7 @@
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut int = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
     let config = Config::from_environment()?;
-    let listener = TcpListener::bind(config.listen)
-        .await
-        .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     let mail = match config.peer_listen {
         Some(at) => Some(Rc::new(UdpSocket::bind(at).await.map_err(|e| format!("peer_listen {at}: {e}"))?)),
         None => None,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -5,7 +5,6 @@
 use crate::interface::*;
 use crate::legal::check;
 use crate::message::{has_room, message, read_message, Ask, Done, Line, Word};
-use crate::servers::PACE_MS;
 pub use crate::state::Limiter;
 use crate::state::*;
 
@@ -101,7 +100,7 @@
             big: START_LIMIT,
             retries: RETRY_PART.1,
             wait_ms: FIRST_WAIT_MS,
-            ..Limiter::blank(settings, seed, now, SMOOTH_MS.0, PACE_MS)
+            ..Limiter::blank(settings, seed, now, SMOOTH_MS.0)
         })
     }
 
@@ -230,7 +229,6 @@
 
     fn send(&mut self, id: RequestId, server: ServerId, slots: f64, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
-        self.sends.add(self.now, 1.0);
         if request.attempts == 0 {
             self.admit_rate.add(self.now, 1.0);
             self.retries = (self.retries + RETRY_PART.0).min(RETRY_PART.1);
@@ -481,12 +479,7 @@
     fn step(&mut self, out: &mut Vec<Action>) {
         self.stepped = self.now;
         self.respan();
-        // One that drains takes no share of the sends: counted in, it would slow the start of its successors.
-        let warm = |s: &&Server| s.cold_from.is_none() && s.entry.condition == Condition::Serving;
-        let warm = self.servers.values().filter(warm).count();
-        // Over the time since the start: else cold servers wait for seconds on one that has just started.
-        let seen = 1.0 - (-(self.now - self.born).max(5.0 * STEP_MS) / PACE_MS).exp();
-        self.pace = self.sends.rate(self.now) / seen / warm.max(1) as f64;
+        self.set_pace();
         self.set_bounds();
         self.feedback();
         self.pump(out);
--- a/src/servers.rs
+++ b/src/servers.rs
@@ -1,5 +1,7 @@
 //! Which server gets a request: the list, slow start of cold ones, health and choice. Part of the decisions.
 
+use std::hash::Hasher;
+
 use crate::interface::*;
 use crate::state::*;
 
@@ -17,14 +19,14 @@
 const TRUST: f64 = 3.0;
 
 // Slow start.
-/// Milliseconds over which the pace of sends to warm servers is measured, the guide for cold ones.
-pub const PACE_MS: Millis = 5000.0;
-/// Limiters that warm one cold server, drawn by lot: each may have saved up one send, so that hundreds could
+/// Milliseconds over which the pace of warm servers is measured, the guide for cold ones.
+const PACE_MS: Millis = 5000.0;
+/// Limiters that warm one cold server, its warming set: each may have saved up one send, so that hundreds could
 /// push it over in one moment, and each would pay for a connection.
-const WARMERS: f64 = 12.0;
-/// Where lots are drawn, a cold server may be sent this many times its least part of a warm one's pace: those
-/// drawn use only some of it, and most servers can do more than the least. Half the fall multiple bounds it.
-const COLD_TIMES: f64 = 1.6;
+const WARMING: u32 = 12;
+/// Share of what a cold server can stand, by the least capacity that the settings promise and what warm ones are
+/// seen to do, that all limiters together send it. The rest is for sends that were saved up and come at once.
+const COLD_PART: f64 = 0.75;
 
 // Health.
 /// Weight of the newest latency or error in a server's smoothed figures.
@@ -53,10 +55,12 @@
             let s = self.servers.entry(e.server.clone()).or_insert_with(fresh);
             if cold && s.cold_from.is_none_or(|from| from < e.started) {
                 s.cold_from = Some(e.started);
-                // All are told at once: those drawn start somewhere between none and one, so that they come
-                // one after the other, and the others never get to one.
-                let drawn = self.rng.f64() < WARMERS / f64::from(self.settings.limiters);
-                let level = if drawn { self.rng.f64() } else { f64::NEG_INFINITY };
+                // All are told at once: those of the set start somewhere between none and one, so that they come
+                // one after the other, and the others never get to one. One that has started since begins with
+                // none: it may have spent its first send before.
+                let begins = if self.born > e.started { 0.0 } else { self.rng.f64() };
+                let warms = in_warming_set(e, self.settings.position, self.settings.limiters);
+                let level = if warms { begins } else { f64::NEG_INFINITY };
                 s.cold = Store { level, at: now };
             }
             s.entry = e.clone();
@@ -65,6 +69,24 @@
         self.pump(out);
     }
 
+    /// The pace that guides slow start: what a warm server is seen to do, as the good answers of those that are in
+    /// service. What is sent to others, or turned away, says nothing of it: with few warm ones left it came to many
+    /// times what a server can do. With none left the last figure stands.
+    pub(crate) fn set_pace(&mut self) {
+        let Limiter { servers, settings, now, born, pace, .. } = self;
+        let warm = |s: &&Server| s.cold_from.is_none() && s.entry.condition == Condition::Serving;
+        let (rates, warm) = servers
+            .values()
+            .filter(warm)
+            .fold((0.0, 0u32), |(rates, n), s| (rates + s.served.rate(*now), n + 1));
+        if warm > 0 {
+            // Over the time since the start: else cold servers wait for seconds on one that has just started.
+            let seen = 1.0 - (-(*now - *born).max(PACE_MS / 10.0) / PACE_MS).exp();
+            *pace = rates / seen / f64::from(warm);
+        }
+        servers.values_mut().for_each(|s| s.warm_up(*now, *pace, settings));
+    }
+
     /// The server with the least expected time among some that may have the request.
     pub(crate) fn choose(&mut self, id: RequestId) -> Option<ServerId> {
         let Limiter { requests, servers, order, settings, rng, now, pace, usual, .. } = self;
@@ -120,6 +142,7 @@
         match outcome {
             Outcome::Ok => {
                 self.alive(now);
+                self.served.add(now, 1.0);
                 self.errors *= 1.0 - NEWEST;
                 if now >= self.aside_until {
                     self.aside_for = 0.0;
@@ -167,22 +190,39 @@
         if self.entry.condition != Condition::Serving || now < self.full_until || silent {
             return false;
         }
-        let Some(from) = self.cold_from else { return true };
+        self.warm_up(now, pace, settings);
+        self.cold_from.is_none() || self.cold.level >= 1.0
+    }
+
+    /// Adds what a cold server may be sent meanwhile. Seen to often: a limiter of hundreds sends so seldom that its
+    /// pace has faded by its next request, and would not tell of the time between.
+    pub(crate) fn warm_up(&mut self, now: Millis, pace: f64, settings: &Settings) {
+        let Some(from) = self.cold_from else { return };
         let age = (now - from) / settings.cold_ms.max(1.0);
         if age >= 1.0 {
             self.cold_from = None;
-            return true;
+            return;
         }
-        // A warm server's pace times the capacity reached is at most this limiter's part of what the server
-        // can do; those drawn send the part of all.
         let share = settings.cold_share + (1.0 - settings.cold_share) * age.max(0.0);
-        let drawn_of = f64::from(settings.limiters) / WARMERS;
-        let times = if drawn_of > 1.0 { COLD_TIMES * drawn_of } else { 1.0 };
-        self.cold.fill(now, pace * share * times.min(settings.fall_multiple / 2.0 * drawn_of.max(1.0)), 1.0);
-        self.cold.level >= 1.0
+        let each_for = (f64::from(settings.limiters) / f64::from(WARMING)).max(1.0);
+        self.cold.fill(now, pace * share * COLD_PART * settings.fall_multiple * each_for, 1.0);
     }
 }
 
+/// Whether this limiter is of the warming set of a server that has just started: the first of all by a hash. Every
+/// limiter finds the same set, again after a start of its own, so that it has neither more members nor others.
+fn in_warming_set(server: &ServerEntry, position: u32, limiters: u32) -> bool {
+    let place = |p: u32| {
+        let mut hasher = fnv::FnvHasher::default();
+        hasher.write(server.server.as_bytes());
+        hasher.write_u64(server.started.to_bits());
+        hasher.write_u32(p);
+        (hasher.finish().wrapping_mul(0x9e37_79b9_7f4a_7c15), p)
+    };
+    let own = place(position);
+    (0..limiters).filter(|p| place(*p) < own).count() < WARMING as usize
+}
+
 /// A keyed request that may have run stays in the group of servers that drops its repeats.
 fn in_group(request: &Open, server: &Server, settings: &Settings) -> bool {
     let class = &settings.classes[request.request.class];
--- a/src/state.rs
+++ b/src/state.rs
@@ -108,8 +108,7 @@
     pub(crate) woke: Millis,
     pub(crate) servers: BTreeMap<ServerId, Server>,
     pub(crate) order: Vec<ServerId>,
-    pub(crate) sends: Fading,
-    /// Sends a second that this limiter gives a warm server.
+    /// Good answers a second that this limiter gets of a warm server.
     pub(crate) pace: f64,
     /// Usual latency of all servers.
     pub(crate) usual: Millis,
@@ -133,8 +132,8 @@
 }
 
 impl Limiter {
-    /// Nothing seen yet; rates are smoothed over `smooth`, the pace of sends over `pace`.
-    pub(crate) fn blank(settings: Settings, seed: u64, now: Millis, smooth: Millis, pace: Millis) -> Self {
+    /// Nothing seen yet; rates are smoothed over `smooth`.
+    pub(crate) fn blank(settings: Settings, seed: u64, now: Millis, smooth: Millis) -> Self {
         let fading = Fading::new(now, smooth);
         Limiter {
             settings,
@@ -163,7 +162,6 @@
             woke: f64::NEG_INFINITY,
             servers: BTreeMap::new(),
             order: Vec::new(),
-            sends: Fading::new(now, pace),
             pace: 0.0,
             usual: 0.0,
             units: VecDeque::new(),
@@ -278,6 +276,8 @@
     pub cold: Store,
     /// Answers of the last seconds: how far its own figures are to be trusted.
     pub heard: Fading,
+    /// Good answers of the last seconds.
+    pub served: Fading,
 }
 
 #[derive(Debug)]
@@ -359,6 +359,7 @@
             cold_from: None,
             cold: Store { level: 1.0, at: now },
             heard: Fading::new(now, span),
+            served: Fading::new(now, span),
         }
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Settings and a driver for tests of the decision module.
 #![allow(dead_code)]
 
+pub mod fleet;
+
 use std::sync::Arc;
 
 use fawnhill::*;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -3,130 +3,11 @@
 
 mod common;
 
+use common::fleet::*;
 use common::*;
 use fawnhill::*;
 
 const LIMITERS: u32 = 100;
-/// Added to a request's number for each further try.
-const AGAIN: RequestId = 1_000_000;
-
-/// A fleet before servers that answer after a fixed time, and its count of units sent on.
-struct Fleet {
-    net: Net,
-    rng: fastrand::Rng,
-    /// Answers under way: when, limiter, request, attempt.
-    answers: Vec<(Millis, usize, RequestId, u32)>,
-    next: RequestId,
-    /// Tries of one request, the first included: a client that is refused comes again, at another member.
-    tries: u32,
-    again: Vec<(Millis, RequestId)>,
-    sent: u32,
-    /// Requests sent on, by number.
-    sent_on: Vec<RequestId>,
-    /// When, and to which server, something was sent on.
-    sends: Vec<(Millis, ServerId)>,
-}
-
-impl Fleet {
-    fn new(servers: u32, seed: u64) -> Fleet {
-        Fleet::of(LIMITERS, servers, seed)
-    }
-
-    fn of(limiters: u32, servers: u32, seed: u64) -> Fleet {
-        let all = (0..limiters).map(|p| Settings { limiters, ..settings(p) }).collect();
-        let (net, rng) = (Net::new(all, servers, seed), fastrand::Rng::with_seed(seed));
-        Fleet {
-            net,
-            rng,
-            answers: Vec::new(),
-            next: 0,
-            tries: 1,
-            again: Vec::new(),
-            sent: 0,
-            sent_on: Vec::new(),
-            sends: Vec::new(),
-        }
-    }
-
-    fn take(&mut self, limiter: usize, actions: Vec<Action>) {
-        for a in actions {
-            if let Action::Refuse { id, .. } = a {
-                if id / AGAIN + 1 < self.tries {
-                    self.again.push((self.net.now + 100.0 + 200.0 * self.rng.f64(), id + AGAIN));
-                }
-            }
-            if let Action::Send { id, server, .. } = a {
-                self.sent += 1;
-                self.sent_on.push(id);
-                self.sends.push((self.net.now, server));
-                self.answers.push((self.net.now + 100.0, limiter, id, 0));
-            }
-        }
-    }
-
-    fn list(&mut self, entries: Vec<ServerEntry>) {
-        for limiter in 0..self.net.rigs.len() {
-            let list = Event::Servers { whole: false, entries: entries.clone().into() };
-            let actions = self.net.give(limiter, list);
-            self.take(limiter, actions);
-        }
-    }
-
-    /// Sends to servers that `which` picks by number, from a moment on.
-    fn sends_to(&self, from: Millis, which: impl Fn(u32) -> bool) -> usize {
-        let names: Vec<ServerId> = (0..200).filter(|n| which(*n)).map(server).collect();
-        self.sends.iter().filter(|(at, to)| *at >= from && names.contains(to)).count()
-    }
-
-    /// Requests of one unit, evenly spaced and each at a member drawn anew; units sent on.
-    fn play(&mut self, per_s: f64, seconds: f64, request: impl Fn(RequestId) -> Request) -> u32 {
-        let (before, end) = (self.sent, self.net.now + 1000.0 * seconds);
-        let mut due = self.net.now;
-        while self.net.now < end {
-            while due <= self.net.now {
-                due += 1000.0 / per_s;
-                self.next += 1;
-                let r = request(self.next);
-                let at = (r.first + self.rng.u32(0..r.spread)) % self.net.rigs.len() as u32;
-                let actions = self.net.give(at as usize, Event::Request(r));
-                self.take(at as usize, actions);
-            }
-            let now = self.net.now;
-            let (due_again, later) = std::mem::take(&mut self.again).into_iter().partition(|a| a.0 <= now);
-            self.again = later;
-            let due_again: Vec<(Millis, RequestId)> = due_again;
-            for (_, id) in due_again {
-                let r = request(id);
-                let at = (r.first + self.rng.u32(0..r.spread)) % self.net.rigs.len() as u32;
-                let actions = self.net.give(at as usize, Event::Request(r));
-                self.take(at as usize, actions);
-            }
-            for (limiter, action) in self.net.pass(8.0) {
-                self.take(limiter, vec![action]);
-            }
-            let now = self.net.now;
-            let (over, open) = std::mem::take(&mut self.answers).into_iter().partition(|a| a.0 <= now);
-            self.answers = open;
-            let over: Vec<_> = over;
-            for (_, limiter, id, attempt) in over {
-                let (outcome, load) = (Outcome::Ok, Load::default());
-                let ended = Event::AttemptEnded {
-                    id,
-                    attempt,
-                    outcome,
-                    took_ms: 100.0,
-                    settled: true,
-                    units: None,
-                    load,
-                };
-                let actions = self.net.give(limiter, ended);
-                self.take(limiter, actions);
-            }
-        }
-        self.sent - before
-    }
-}
-
 /// A customer of 80 limiters, at the plan of 6 units a second and 12 at once.
 fn wide(id: RequestId) -> Request {
     Request { spread: 80, first: 35, ..request(id, SAFE, RATED) }
@@ -135,7 +16,7 @@
 /// Guards against a gift for each member: what one limiter lets through without asking, eighty do.
 #[test]
 fn a_quota_holds_over_a_set_of_eighty() {
-    let mut fleet = Fleet::new(20, 1);
+    let mut fleet = Fleet::of(LIMITERS, 20, 1);
     fleet.net.loss = 0.05;
     let quota = 12.0 + 6.0 * 8.0;
     let sent = f64::from(fleet.play(30.0, 8.0, wide));
@@ -147,7 +28,7 @@
 /// request nor nothing.
 #[test]
 fn eighty_members_without_keepers_spend_about_the_quota() {
-    let mut fleet = Fleet::new(20, 2);
+    let mut fleet = Fleet::of(LIMITERS, 20, 2);
     fleet.net.loss = 1.0;
     let quota = 12.0 + 6.0 * 12.0;
     let sent = f64::from(fleet.play(30.0, 12.0, wide));
@@ -164,7 +45,7 @@
 /// no moment brings it more than it can stand.
 #[test]
 fn cold_servers_get_their_part_from_the_whole_fleet_and_no_more() {
-    let mut fleet = Fleet::new(60, 3);
+    let mut fleet = Fleet::of(LIMITERS, 60, 3);
     fleet.play(400.0, 5.0, free);
     let now = fleet.net.now;
     let draining = (24..60).map(|n| ServerEntry { condition: Condition::Draining, ..entry(n) });
@@ -188,7 +69,7 @@
 /// Limiters that have just started, as most do in a release, warm cold servers from their first seconds on.
 #[test]
 fn limiters_that_have_just_started_use_cold_servers() {
-    let mut fleet = Fleet::new(24, 4);
+    let mut fleet = Fleet::of(LIMITERS, 24, 4);
     let started = fleet.net.now - 5000.0;
     fleet.list((100..136).map(|n| ServerEntry { started, ..entry(n) }).collect());
     fleet.play(400.0, 1.0, free);
@@ -244,7 +125,7 @@
 /// A customer known to ask for ten times its quota is held to a few times that by chance, though nobody keeps its book.
 #[test]
 fn a_greedy_customer_gains_little_while_all_keepers_are_silent() {
-    let mut fleet = Fleet::new(20, 8);
+    let mut fleet = Fleet::of(LIMITERS, 20, 8);
     fleet.play(60.0, 4.0, wide);
     fleet.net.loss = 1.0;
     let sent = f64::from(fleet.play(60.0, 6.0, wide));
