Begin no retry of a keyed request after the window in which its repeats are dropped

Change: a Send says how late the attempt may begin; after the wait for a connection that is looked at as well. Test with a server whose connections come up late: 200 from the late server before, 502 and nothing carried now.

--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -416,7 +416,7 @@
 
     fn act(self: &Rc<Self>, state: &mut State, action: Action) {
         match action {
-            Action::Send { id, server, cap_ms } => self.send(state, id, server, cap_ms),
+            Action::Send { id, server, cap_ms, begin_ms } => self.send(state, id, server, cap_ms, begin_ms),
             Action::Cancel { id, attempt } => stop(state, id, attempt, Outcome::Cancelled),
             Action::Refuse { id, retry_ms } => answer(state, id, Answer::Refused(retry_ms)),
             Action::Fail { id } => answer(state, id, Answer::Failed),
@@ -456,7 +456,7 @@
         }
     }
 
-    fn send(self: &Rc<Self>, state: &mut State, id: RequestId, server: ServerId, cap_ms: f64) {
+    fn send(self: &Rc<Self>, state: &mut State, id: RequestId, server: ServerId, cap_ms: f64, begin_ms: f64) {
         let Some(open) = state.open.get_mut(&id) else { return };
         let now = self.now();
         let attempt = open.attempts;
@@ -473,7 +473,14 @@
         open.out = true;
         let end = if cap_ms > 0.0 { open.deadline.min(now + cap_ms) } else { open.deadline };
         let (cancel, cancelled) = oneshot::channel();
-        let job = servers::Job { id, attempt, server, content: open.content.clone(), end };
+        let job = servers::Job {
+            id,
+            attempt,
+            server,
+            content: open.content.clone(),
+            end,
+            begin_by: now + begin_ms,
+        };
         state.out.insert((id, attempt), Out { sent: now, cancel });
         self.due(state, end, Due::Cap(id, attempt));
         tokio::task::spawn_local(servers::attempt(self.clone(), job, cancelled));
--- a/marldeal/src/servers.rs
+++ b/marldeal/src/servers.rs
@@ -46,6 +46,8 @@
     pub content: Rc<Content>,
     /// When it is given up, in the module's milliseconds.
     pub end: f64,
+    /// It must not begin later than this, in the same.
+    pub begin_by: f64,
 }
 
 /// How an attempt ended.
@@ -176,9 +178,11 @@
             Err(outcome) => return outcome.into(),
         },
     };
-    // The wait for a connection may have outlived the server's readiness, or the client's patience: nothing new goes
-    // to one that drains, and nothing is sent on for one that has left.
-    if driver.address(&job.server) != Some(addr) || !driver.waits(job.id) {
+    // The wait for a connection may have outlived the server's readiness, the client's patience, or the window in which
+    // servers drop repeats: nothing new goes to one that drains, nothing is sent on for one that has left, and what may
+    // have run is not sent again.
+    let late = driver.now() > job.begin_by;
+    if late || driver.address(&job.server) != Some(addr) || !driver.waits(job.id) {
         return Outcome::NotSent.into();
     }
     let Ok(request) = request(job, addr, job.end - driver.now()) else { return Outcome::NotSent.into() };
--- a/marldeal/tests/crossings.rs
+++ b/marldeal/tests/crossings.rs
@@ -328,6 +328,36 @@
     assert_eq!(first.len(), others + connections, "no other has come up");
 }
 
+/// A keyed request may have run, and the connection for its retry comes up after the window in which servers drop
+/// repeats: it carries nothing, and the client is told of no more than a failure.
+#[test]
+fn a_connection_that_comes_up_after_the_window_of_repeats_carries_nothing() {
+    let (full, gate) = (Full::new(), Arc::new(Mutex::new(())));
+    let closed = gate.clone();
+    let breaks_off = Stub::new(move |_, _| closed.lock().is_err());
+    let held = gate.lock().expect("lock");
+    let node = Node::with(&[("s-1", &breaks_off, "active")], |c| {
+        long_dial(c)
+            .replace(r#""AimMs":2500"#, r#""AimMs":600000"#)
+            .replace(r#""WindowMs":8000"#, r#""WindowMs":1000"#)
+    });
+    let mut client = TcpStream::connect(node.addr).expect("connect");
+    let request = post("book", "k", "", "x").replace("Left: 3.0", "Left: 60");
+    client.write_all(request.as_bytes()).expect("write");
+    wait_for("the first attempt", || breaks_off.seen().len() == 1);
+    node.discovery.push(&line(2, false, &[("s-2", full.addr, "active")]));
+    node.wait_log("server s-2");
+    drop(held);
+    wait_for("the first attempt to break off", || breaks_off.closed_by_peer() == 1);
+    // The window counts from before the first attempt was seen.
+    std::thread::sleep(Duration::from_millis(1200));
+    let others = full.fill.len();
+    let first = full.release();
+    assert_eq!(read_answer(&mut client).status, 502);
+    wait_for("the late connection", || first.lock().expect("lock").len() == others + 1);
+    assert!(!first.lock().expect("lock").contains(&true), "sent again after the window");
+}
+
 // ---- The end of a process ----
 
 /// A server that takes requests and says nothing.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -275,6 +275,9 @@
         server: ServerId,
         /// Give the attempt up after this long; 0 for as long as the client waits.
         cap_ms: Millis,
+        /// Do not begin it later than this from now, however long a connection takes: servers drop the repeats of a
+        /// keyed request for its window alone. Infinite where nothing forbids it.
+        begin_ms: Millis,
     },
     /// Call an attempt off.
     Cancel {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -235,6 +235,12 @@
         }
         let class = request.request.class;
         let check_ms = self.settings.classes[class].aim_ms * CHECK_PART;
+        let begin_ms = match (self.settings.classes[class].effect, request.may_have_run) {
+            (Effect::Keyed, Some((sent, ..))) => {
+                sent + self.settings.classes[class].window_ms - self.settings.round_ms - self.now
+            }
+            _ => f64::INFINITY,
+        };
         let attempt = request.attempts;
         request.attempts += 1;
         request.out = true;
@@ -246,7 +252,7 @@
         self.occupied += slots;
         let record = Attempt { server: server.clone(), sent: self.now, slots, class, cancelled: false };
         self.attempts.insert((id, attempt), record);
-        out.push(Action::Send { id, server, cap_ms: 0.0 });
+        out.push(Action::Send { id, server, cap_ms: 0.0, begin_ms });
         out.push(Action::Wake { after_ms: check_ms, token: token(id, WAKE_CHECK) });
     }
 
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -429,7 +429,7 @@
 pub fn action(limiter_id: Arc<str>, a: lib::Action) -> Out {
     use lib::Action as A;
     match a {
-        A::Send { id, server, cap_ms } => Out::PassOn { limiter_id, ticket: id, cap_ms, server },
+        A::Send { id, server, cap_ms, .. } => Out::PassOn { limiter_id, ticket: id, cap_ms, server },
         A::Cancel { id, attempt } => Out::UndoSend { limiter_id, ticket: id, trial: attempt },
         A::Refuse { id, retry_ms } => Out::Decline { limiter_id, ticket: id, backoff_ms: retry_ms },
         A::Fail { id } => Out::Lose { limiter_id, ticket: id },
