--- a/marldeal/src/clients.rs
+++ b/marldeal/src/clients.rs
@@ -50,9 +50,10 @@
 /// The longest time left that makes sense, in seconds, and the longest that is kept in mind.
 const MOST_TIME_LEFT: f64 = 3600.0;
 const KEPT_TIME_LEFT: f64 = 60.0;
-/// A connection may be cut for want of room after standing idle for so long; one that has not asked yet
-/// sooner.
-const EVICT_IDLE: Duration = Duration::from_millis(500);
+/// A connection may be cut for want of room after resting for so long since its last answer was written; one that has
+/// not asked yet, after this time for its request to come. While all rest, others wait to be accepted, and the time that
+/// this takes their clients is seen by nobody.
+const EVICT_IDLE: Duration = Duration::from_millis(50);
 const EVICT_SILENT: Duration = Duration::from_millis(100);
 /// How often it is seen whether there is room again, or an end to wait for.
 const TICK: Duration = Duration::from_millis(50);
@@ -262,8 +263,8 @@
     }
 
     /// Cuts a connection that has asked nothing yet or sent a part, the oldest first, else the one that has
-    /// been idle for longest, if for some time: it may still be writing its answer. Guards against crowds
-    /// that hold connections, or send a request's half, in place of the clients that ask.
+    /// been idle for longest. Guards against crowds that hold connections, or send a request's half, in place of the
+    /// clients that ask.
     fn evict(&self) {
         let all = self.all.borrow();
         let may_go = |c: &&Rc<Client>| {
