Force a flood of new customers by a test; say what a limiter keeps

The race "a flood of new customers" was settled in the code and forced by no test. Limiter::kept tells the figures, for operators too.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -49,3 +49,4 @@
 
 pub use interface::*;
 pub use policy::Limiter;
+pub use state::Kept;
--- a/src/state.rs
+++ b/src/state.rs
@@ -205,6 +205,32 @@
     }
 }
 
+/// How much a limiter keeps in mind; each is bounded, whatever comes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Kept {
+    /// Customers of whom it is a member.
+    pub customers: usize,
+    /// Customers whose quota it owns.
+    pub accounts: usize,
+    /// Answers that it gave as an owner, for repeats.
+    pub grants: usize,
+    /// Open requests.
+    pub requests: usize,
+}
+
+impl Limiter {
+    /// What is kept at this moment.
+    pub fn kept(&self) -> Kept {
+        let Limiter { customers, accounts, grants, requests, .. } = self;
+        Kept {
+            customers: customers.len(),
+            accounts: accounts.len(),
+            grants: grants.len(),
+            requests: requests.len(),
+        }
+    }
+}
+
 /// Whose quota it is: a customer on another plan, or an id that was given to another customer since, has one of its own.
 pub type Payer = (CustomerId, usize);
 
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -447,3 +447,44 @@
     let again = sent_on(&mut rig, RATED, 200);
     assert!(again <= 4, "{again}: the first one's is as spent as it was");
 }
+
+/// A flood of new customers, each once: books of those not seen for longest go sooner, so that what is kept stays
+/// bounded; a customer that has spent its quota in the flood does not get a new one by it.
+#[test]
+fn a_flood_of_new_customers_keeps_little_and_gives_no_quota_away() {
+    let mut limiter = Limiter::new(Settings { limiters: 1, ..settings(0) }, 1, 0.0).expect("legal settings");
+    let (mut out, mut next, mut now, mut greedy) = (Vec::new(), 0, 0.0, 0);
+    let list = Event::Servers { whole: true, entries: (0..3).map(entry).collect() };
+    limiter.handle(now, list, &mut out);
+    let mut most = limiter.kept();
+    let seconds = 60;
+    for step in 0..10 * seconds {
+        // 1,000 a second, and 20 of one customer that may have 6 and 12 at once.
+        for n in 0..102 {
+            next += 1;
+            let customer = if n < 2 { 1 } else { 1000 + u64::from(next) };
+            let r = Request { spread: 1, customer, ..request(next, SAFE, RATED) };
+            out.clear();
+            limiter.handle(now, Event::Request(r), &mut out);
+            if !sent(&out).is_empty() {
+                greedy += u32::from(n < 2);
+                let (outcome, load) = (Outcome::Ok, Load::default());
+                let (settled, units, took_ms) = (true, None, 50.0);
+                let end =
+                    Event::AttemptEnded { id: next, attempt: 0, outcome, took_ms, settled, units, load };
+                limiter.handle(now, end, &mut out);
+            }
+        }
+        now += 100.0;
+        limiter.handle(now, Event::Wake { token: 0 }, &mut out);
+        let kept = limiter.kept();
+        most.customers = most.customers.max(kept.customers);
+        most.accounts = most.accounts.max(kept.accounts);
+        most.grants = most.grants.max(kept.grants);
+        assert_eq!(kept.requests, 0, "at step {step}");
+    }
+    // Beyond 10,000 the time for which they are kept falls as their number grows.
+    assert!(most.customers <= 26_000 && most.accounts <= 26_000, "{most:?}");
+    assert!(most.grants <= 10 * 1020, "{most:?}");
+    assert!(greedy <= 12 + 6 * seconds, "{greedy} units of one customer");
+}
