Name quota owners, quota requests, grant replies and settlements as the field does

keeper is owner, Ask QuotaRequest, Word GrantReply, Done Settlement, judge decide, in the module, its tests and the wire between limiters.

--- a/marldeal/tests/sockets.rs
+++ b/marldeal/tests/sockets.rs
@@ -447,11 +447,11 @@
             socket.send_to(&vec![0xfb; length], own).expect("send");
         }
     }
-    // Keepers lie on both limiters: some of these customers are asked about at the peer, which stays silent.
+    // Owners lie on both limiters: some of these customers are asked about at the peer, which stays silent.
     for n in 0..16 {
         let request = get("look", "").replace("00000000b4d65521", &format!("{n:016x}"));
         let request = request.replace("spread=1", "spread=2");
-        assert_eq!(ask(&node, &request).status, 200, "the even part serves while a keeper is silent");
+        assert_eq!(ask(&node, &request).status, 200, "the even part serves while an owner is silent");
     }
     let mut buffer = [0; 1024];
     let (length, from) = peer.recv_from(&mut buffer).expect("an ask");
--- a/src/message.rs
+++ b/src/message.rs
@@ -12,9 +12,9 @@
 /// Latency share that says that there is none.
 const NO_SHARE: u8 = 255;
 
-/// A member asks a customer's keeper for the units of one request.
+/// A member asks a customer's owner for the units of one request.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Ask {
+pub struct QuotaRequest {
     /// Which request of the member.
     pub id: RequestId,
     /// Whose it is.
@@ -33,9 +33,9 @@
     pub spent: bool,
 }
 
-/// A keeper's answer.
+/// An owner's answer.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Word {
+pub struct GrantReply {
     /// Which request of the member.
     pub id: RequestId,
     /// Whose it is.
@@ -48,13 +48,13 @@
     pub granted: bool,
     /// The customer's demand at all limiters as a multiple of its quota.
     pub over: f32,
-    /// Units left in the keeper's store.
+    /// Units left in the owner's store.
     pub left: f32,
 }
 
 /// A member is done with a request that was granted.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Done {
+pub struct Settlement {
     /// Which request of the member.
     pub id: RequestId,
     /// Units that it really used: none if it was never sent on.
@@ -64,12 +64,12 @@
 /// One line of a message.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Line {
-    /// To a keeper.
-    Ask(Ask),
-    /// From a keeper.
-    Word(Word),
-    /// To a keeper.
-    Done(Done),
+    /// To an owner.
+    QuotaRequest(QuotaRequest),
+    /// From an owner.
+    GrantReply(GrantReply),
+    /// To an owner.
+    Settlement(Settlement),
     /// To anyone, by one that discovery does not answer: which servers have left?
     LeftAsk,
     /// In answer: a server that leaves or is gone, by the mark of its id and start.
@@ -80,7 +80,7 @@
     /// Adds the line to a message's body.
     fn write(&self, body: &mut Vec<u8>) {
         match self {
-            Line::Ask(a) => {
+            Line::QuotaRequest(a) => {
                 body.push(if a.spent { 5 } else { 1 });
                 body.extend_from_slice(&a.id.to_be_bytes());
                 body.extend_from_slice(&a.customer.to_be_bytes());
@@ -90,7 +90,7 @@
                 body.extend_from_slice(&a.units.to_be_bytes());
                 body.extend_from_slice(&a.unasked.to_be_bytes());
             }
-            Line::Word(w) => {
+            Line::GrantReply(w) => {
                 body.push(if w.granted { 2 } else { 3 });
                 body.extend_from_slice(&w.id.to_be_bytes());
                 body.extend_from_slice(&w.customer.to_be_bytes());
@@ -99,7 +99,7 @@
                 body.extend_from_slice(&w.over.to_be_bytes());
                 body.extend_from_slice(&w.left.to_be_bytes());
             }
-            Line::Done(d) => {
+            Line::Settlement(d) => {
                 body.push(4);
                 body.extend_from_slice(&d.id.to_be_bytes());
                 body.extend_from_slice(&d.used.to_be_bytes());
@@ -115,7 +115,7 @@
     /// Reads one line off the front of `rest`; amounts that are negative or endless are not read.
     fn read(rest: &mut &[u8]) -> Option<Line> {
         let line = match take::<1>(rest)?[0] {
-            kind @ (1 | 5) => Line::Ask(Ask {
+            kind @ (1 | 5) => Line::QuotaRequest(QuotaRequest {
                 id: u32::from_be_bytes(take(rest)?),
                 customer: u64::from_be_bytes(take(rest)?),
                 plan: take::<1>(rest)?[0],
@@ -125,7 +125,7 @@
                 unasked: amount(rest)?,
                 spent: kind == 5,
             }),
-            kind @ (2 | 3) => Line::Word(Word {
+            kind @ (2 | 3) => Line::GrantReply(GrantReply {
                 id: u32::from_be_bytes(take(rest)?),
                 customer: u64::from_be_bytes(take(rest)?),
                 plan: take::<1>(rest)?[0],
@@ -134,7 +134,7 @@
                 over: amount(rest)?,
                 left: amount(rest)?,
             }),
-            4 => Line::Done(Done { id: u32::from_be_bytes(take(rest)?), used: amount(rest)? }),
+            4 => Line::Settlement(Settlement { id: u32::from_be_bytes(take(rest)?), used: amount(rest)? }),
             6 => Line::LeftAsk,
             7 => Line::Left(u32::from_be_bytes(take(rest)?)),
             _ => return None,
@@ -145,9 +145,9 @@
     /// Bytes that it takes.
     pub fn size(&self) -> usize {
         match self {
-            Line::Ask(_) => 26,
-            Line::Word(_) => 26,
-            Line::Done(_) => 9,
+            Line::QuotaRequest(_) => 26,
+            Line::GrantReply(_) => 26,
+            Line::Settlement(_) => 9,
             Line::LeftAsk => 1,
             Line::Left(_) => 5,
         }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -4,7 +4,7 @@
 
 use crate::interface::*;
 use crate::legal::check;
-use crate::message::{has_room, message, read_message, Ask, Done, Line, Word};
+use crate::message::{has_room, message, read_message, GrantReply, Line, QuotaRequest, Settlement};
 pub use crate::state::Limiter;
 use crate::state::*;
 
@@ -32,16 +32,16 @@
 const UNITS_KEPT: usize = 256;
 const HOLD_PART: f64 = 0.25;
 
-// Quotas: members and keepers.
-/// Shares of a customer's ceiling that its keepers own, the first asked first. Fixed: no silence moves them;
+// Quotas: members and owners.
+/// Shares of a customer's ceiling that its owners own, the first asked first. Fixed: no silence moves them;
 /// the first one's is near the whole quota, the others carry on while it is dead.
 const CEILING_PARTS: [f64; 3] = [0.62, 0.23, 0.15];
 /// Share of the quota that the others grant: the first one may be cut off from some members only.
 const BACKUP_PART: f64 = 0.5;
 /// Milliseconds after its arrival in which a request may spend units granted under a ceiling; until then the
-/// keeper counts them against its depth. Waits for a word and for room fit in.
+/// owner counts them against its depth. Waits for a reply and for room fit in.
 const GRANT_MS: Millis = 500.0;
-/// Milliseconds that a keeper remembers its words, and that they count at a member.
+/// Milliseconds that an owner remembers its replies, and that they count at a member.
 const GRANT_KEPT_MS: Millis = 8000.0;
 const TOLD_MS: Millis = 4000.0;
 /// Longest wait for ceilings to fill at a start; a peer that started so much earlier serves already.
@@ -49,28 +49,28 @@
 const ELDER_MS: Millis = 2000.0;
 /// Share of the quota's store that must be left, as far as a member knows, for it to spend without asking.
 const ROOM_PART: f64 = 0.5;
-/// A member lets this many times the quota pass to the keeper, whose store decides exactly.
+/// A member lets this many times the quota pass to the owner, whose store decides exactly.
 const ASK_OVER: f64 = 1.5;
-/// Asks to one keeper before the next is asked; misses in a row at which it counts as silent, and for how
+/// Asks to one owner before the next is asked; misses in a row at which it counts as silent, and for how
 /// many milliseconds.
 const ASKS: u32 = 2;
 const SILENT_MISSES: u32 = 3;
 const SILENT_MS: Millis = 1000.0;
-/// Misses at any keepers, with no peer heard since, at which all count as silent but for one ask in so many
-/// milliseconds: one of hundreds of keepers is asked too seldom to miss it three times.
+/// Misses at any owners, with no peer heard since, at which all count as silent but for one ask in so many
+/// milliseconds: one of hundreds of owners is asked too seldom to miss it three times.
 const ALL_SILENT: (u32, Millis) = (12, 250.0);
-/// A word is late after this many usual waits; the usual wait at the start, in milliseconds; weight of the
+/// A reply is late after this many usual waits; the usual wait at the start, in milliseconds; weight of the
 /// newest.
 const LATE_TIMES: f64 = 2.5;
 const FIRST_WAIT_MS: Millis = 40.0;
 const NEWEST_WAIT: f64 = 0.1;
-/// Share of the aim in which keepers are asked; then the even part decides.
-const WORD_PART: f64 = 0.4;
+/// Share of the aim in which owners are asked; then the even part decides.
+const GRANT_REPLY_PART: f64 = 0.4;
 /// Share of the receivers' message allowance that this limiter sends, and seconds of it sent in one go.
 const MAIL_PART: (f64, f64) = (0.8, 0.1);
-/// Milliseconds after which a word that still waits to be sent comes too late for its member; most messages
+/// Milliseconds after which a reply that still waits to be sent comes too late for its member; most messages
 /// that wait.
-const WORD_KEPT_MS: Millis = 250.0;
+const GRANT_REPLY_KEPT_MS: Millis = 250.0;
 const MOST_OUTBOX: usize = 256;
 /// Asks heard after a pause of so many milliseconds are old.
 const STALL_MS: Millis = 500.0;
@@ -352,15 +352,15 @@
         }
     }
 
-    /// Takes a request off the books and tells its keeper what it really used.
+    /// Takes a request off the books and tells its owner what it really used.
     fn close(&mut self, id: RequestId, out: &mut Vec<Action>) -> Option<Open> {
         let open = self.requests.remove(&id)?;
-        let Some(keeper) = open.keeper else { return Some(open) };
+        let Some(owner) = open.owner else { return Some(open) };
         let units = open.request.units;
         let used = if open.attempts == 0 { 0.0 } else { open.true_units.unwrap_or(units) };
         if used != units || self.settings.plans[open.request.plan].open > 0 {
-            let done = Done { id, used: used as f32 };
-            self.tell(keeper, Line::Done(done), out);
+            let done = Settlement { id, used: used as f32 };
+            self.tell(owner, Line::Settlement(done), out);
         }
         Some(open)
     }
@@ -400,7 +400,7 @@
             // Nothing is earned after the aim: ending now frees the server and saves the price of a late end.
             WAKE_AIM if self.settings.classes[request.request.class].late_worth <= 0.0 => self.end(id, out),
             WAKE_CHECK => self.check_silence(id, out),
-            WAKE_WORD => self.check_word(id, out),
+            WAKE_GRANT_REPLY => self.check_grant_reply(id, out),
             _ => {}
         }
     }
@@ -525,7 +525,7 @@
                     g.lent = false;
                     a.lent = (a.lent - g.units).max(0.0);
                 }
-                // A lost word of the end must not hold its place for ever.
+                // A lost settlement must not hold its place for ever.
                 if g.open && age > longest {
                     g.open = false;
                     a.open = a.open.saturating_sub(1);
@@ -552,7 +552,7 @@
     }
 
     /// The chance by which summed demand passes the quota refuses at once. It also keeps a flood of one
-    /// customer from drowning its keeper in asks; what is refused so is told with the next ask.
+    /// customer from drowning its owner in asks; what is refused so is told with the next ask.
     fn thinned(&mut self, request: &Request) -> bool {
         let now = self.now;
         let chance_in = self.rng.f64();
@@ -567,12 +567,12 @@
         refuse
     }
 
-    /// Spends from a part owned here while the first keeper's store has room, and tells it: to wait for its
-    /// word would only cost time. The part is the even one, and under a ceiling also the one kept here.
+    /// Spends from a part owned here while the first owner's store has room, and tells it: to wait for its
+    /// reply would only cost time. The part is the even one, and under a ceiling also the one kept here.
     fn spend(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id).map(|open| open.request.clone()) else { return };
         let (me, plan) = (self.settings.position, &self.settings.plans[request.plan]);
-        let first = keeper(request.customer, (request.first, request.spread), self.settings.limiters, 0);
+        let first = owner(request.customer, (request.first, request.spread), self.settings.limiters, 0);
         let Some(first) = first.filter(|k| *k != me && self.settings.may_tell && plan.open == 0) else {
             return self.ask(id, out);
         };
@@ -580,25 +580,25 @@
         let (part, least) = (f64::from(request.spread).recip(), plan.burst * ROOM_PART);
         let Some(c) = self.customers.get_mut(&payer(&request)) else { return };
         c.even.fill(now, plan.rate * part, (plan.burst * part).max(units));
-        // A part that holds no whole request belongs to no member: the keeper's store decides.
+        // A part that holds no whole request belongs to no member: the owner's store decides.
         let room = plan.burst * part >= units && c.even.level >= units && c.room - units >= least;
-        let mut line = self.ask_of(&request);
-        if !room || (ceiled && !self.judge(me, self.incarnation, &line).is_some_and(|word| word.granted)) {
-            // Refused here: should the first keeper be silent, this one is asked again.
+        let mut line = self.quota_request_of(&request);
+        if !room || (ceiled && !self.decide(me, self.incarnation, &line).is_some_and(|word| word.granted)) {
+            // Refused here: should the first owner be silent, this one is asked again.
             self.grants.remove(&(me, self.incarnation, id));
             return self.ask(id, out);
         }
         if let Some(c) = self.customers.get_mut(&payer(&request)) {
             (c.even.level, c.room) = (c.even.level - units, c.room - units);
         }
-        self.requests.entry(id).and_modify(|r| r.keeper = Some(first));
+        self.requests.entry(id).and_modify(|r| r.owner = Some(first));
         line.spent = true;
-        self.tell(first, Line::Ask(line), out);
+        self.tell(first, Line::QuotaRequest(line), out);
         self.dispatch(id, out);
     }
 
-    fn ask_of(&self, request: &Request) -> Ask {
-        Ask {
+    fn quota_request_of(&self, request: &Request) -> QuotaRequest {
+        QuotaRequest {
             id: request.id,
             customer: request.customer,
             plan: request.plan as u8,
@@ -610,7 +610,7 @@
         }
     }
 
-    /// Asks the first keeper that is not silent; where none is left, the even part decides.
+    /// Asks the first owner that is not silent; where none is left, the even part decides.
     fn ask(&mut self, id: RequestId, out: &mut Vec<Action>) {
         loop {
             let Some(open) = self.requests.get(&id) else { return };
@@ -622,47 +622,47 @@
                 none_heard || missed.is_some_and(|m| m.misses >= SILENT_MISSES && self.now - m.at < SILENT_MS)
             };
             let set = (request.first, request.spread);
-            let Some(keeper) = keeper(request.customer, set, self.settings.limiters, open.rank)
-                .filter(|_| self.now - open.arrived < WORD_PART * aim)
+            let Some(owner) = owner(request.customer, set, self.settings.limiters, open.rank)
+                .filter(|_| self.now - open.arrived < GRANT_REPLY_PART * aim)
             else {
                 return self.by_even_part(id, out);
             };
-            let ask = self.ask_of(request);
-            if keeper == self.settings.position {
-                if let Some(word) = self.judge(keeper, self.incarnation, &ask) {
-                    return self.on_word(keeper, &word, out);
+            let ask = self.quota_request_of(request);
+            if owner == self.settings.position {
+                if let Some(word) = self.decide(owner, self.incarnation, &ask) {
+                    return self.on_grant_reply(owner, &word, out);
                 }
-            } else if self.settings.may_tell && !silent(keeper) {
+            } else if self.settings.may_tell && !silent(owner) {
                 let now = self.now;
                 self.last_ask = now;
-                self.requests.entry(id).and_modify(|r| (r.asked, r.asks) = (Some((keeper, now)), r.asks + 1));
+                self.requests.entry(id).and_modify(|r| (r.asked, r.asks) = (Some((owner, now)), r.asks + 1));
                 let after_ms = self.wait_ms * LATE_TIMES + 2.0 * self.settings.round_ms;
-                out.push(Action::Wake { after_ms, token: token(id, WAKE_WORD) });
-                return self.tell(keeper, Line::Ask(ask), out);
+                out.push(Action::Wake { after_ms, token: token(id, WAKE_GRANT_REPLY) });
+                return self.tell(owner, Line::QuotaRequest(ask), out);
             }
             self.requests.entry(id).and_modify(|r| (r.rank, r.asks) = (r.rank + 1, 0));
         }
     }
 
-    /// A late word is asked for again, then the next keeper is asked. Guards against lost messages, and
-    /// keepers that are dead, stalled or cut off.
-    fn check_word(&mut self, id: RequestId, out: &mut Vec<Action>) {
+    /// A late reply is asked for again, then the next owner is asked. Guards against lost messages, and
+    /// owners that are dead, stalled or cut off.
+    fn check_grant_reply(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let late = self.wait_ms * LATE_TIMES;
         let Some(open) = self.requests.get_mut(&id) else { return };
-        let Some((keeper, at)) = open.asked else { return };
-        let word_ms = WORD_PART * self.settings.classes[open.request.class].aim_ms;
-        let asks = |l: &(Millis, Line)| matches!(l.1, Line::Ask(a) if a.id == id && !a.spent);
+        let Some((owner, at)) = open.asked else { return };
+        let word_ms = GRANT_REPLY_PART * self.settings.classes[open.request.class].aim_ms;
+        let asks = |l: &(Millis, Line)| matches!(l.1, Line::QuotaRequest(a) if a.id == id && !a.spent);
         // Not sent yet: it is this limiter that is late.
         let unsent = self.now - open.arrived < word_ms
-            && self.outbox.iter().any(|(to, lines)| *to == keeper && lines.iter().any(asks));
-        // The usual wait has grown since the ask: without another look a lost word would never be missed.
+            && self.outbox.iter().any(|(to, lines)| *to == owner && lines.iter().any(asks));
+        // The usual wait has grown since the ask: without another look a lost reply would never be missed.
         if unsent || self.now - at < late {
             let at = if unsent { self.now } else { at };
             let after_ms = at + late - self.now + self.settings.round_ms;
-            return out.push(Action::Wake { after_ms, token: token(id, WAKE_WORD) });
+            return out.push(Action::Wake { after_ms, token: token(id, WAKE_GRANT_REPLY) });
         }
         self.unheard += 1;
-        let missed = self.missed.entry(keeper).or_insert(Missed { misses: 0, at });
+        let missed = self.missed.entry(owner).or_insert(Missed { misses: 0, at });
         *missed = Missed { misses: missed.misses + 1, at: self.now };
         open.asked = None;
         if open.asks >= ASKS {
@@ -671,8 +671,8 @@
         self.ask(id, out);
     }
 
-    /// Takes a keeper's word in, wherever it comes in time.
-    fn on_word(&mut self, from: u32, word: &Word, out: &mut Vec<Action>) {
+    /// Takes an owner's reply in, wherever it comes in time.
+    fn on_grant_reply(&mut self, from: u32, word: &GrantReply, out: &mut Vec<Action>) {
         if let Some(c) = self.customers.get_mut(&(word.customer, word.plan.into())) {
             if self.now - c.told_at > TOLD_MS {
                 self.strangers.add(self.now, f64::from(u8::from(word.granted)));
@@ -681,13 +681,13 @@
             c.room = f64::from(word.left);
         }
         let own = from == self.settings.position;
-        let waits = |r: &&mut Open| r.attempts == 0 && r.keeper.is_none() && (own || r.asked.is_some());
+        let waits = |r: &&mut Open| r.attempts == 0 && r.owner.is_none() && (own || r.asked.is_some());
         let Some(open) = self.requests.get_mut(&word.id).filter(waits) else { return };
         if let Some((_, at)) = open.asked.take().filter(|a| a.0 == from) {
             self.wait_ms += NEWEST_WAIT * (self.now - at - self.wait_ms);
         }
         open.let_in = self.now;
-        open.keeper = word.granted.then_some(from);
+        open.owner = word.granted.then_some(from);
         if !word.granted || self.lapsed(&self.requests[&word.id]) {
             self.end(word.id, out);
         } else {
@@ -695,11 +695,11 @@
         }
     }
 
-    /// No keeper answers: the even part of rate and burst; under a cap on attempts out alone, its even part
+    /// No owner answers: the even part of rate and burst; under a cap on attempts out alone, its even part
     /// in the time of one aim. Where the part holds no whole request, what it holds is the least chance of
     /// one: all members together then spend the quota, if the demand is far above it. What was told of the
     /// demand says more: the chance by which it does not pass the quota, or for a customer not heard of, the
-    /// share of such requests that keepers let in before. Nobody but the keepers owns a part of a ceiling, so
+    /// share of such requests that owners let in before. Nobody but the owners owns a part of a ceiling, so
     /// that such a customer is refused.
     fn by_even_part(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.requests.get_mut(&id) else { return };
@@ -723,22 +723,22 @@
         self.dispatch(id, out);
     }
 
-    /// Units granted under a ceiling and not spent in time count no more against the keeper's depth.
+    /// Units granted under a ceiling and not spent in time count no more against the owner's depth.
     fn lapsed(&self, open: &Open) -> bool {
         let ceiled = self.settings.plans[open.request.plan].ceiling_rate > 0.0;
         open.attempts == 0 && ceiled && self.now - open.arrived > GRANT_MS
     }
 
-    // ---- Quotas and ceilings: the keeper ----
+    // ---- Quotas and ceilings: the owner ----
 
-    /// The keeper's word on an ask; the same again for a repeat. The ceiling part starts as if spent and
+    /// The owner's reply to a request; the same again for a repeat. The ceiling part starts as if spent and
     /// fills only once all that an earlier start of this limiter may have granted has lapsed.
-    fn judge(&mut self, from: u32, born: u32, ask: &Ask) -> Option<Word> {
+    fn decide(&mut self, from: u32, born: u32, ask: &QuotaRequest) -> Option<GrantReply> {
         let (now, n) = (self.now, self.settings.limiters);
         let payer = (ask.customer, usize::from(ask.plan));
         let plan = self.settings.plans.get(payer.1)?;
         let (set, me) = ((ask.first.into(), ask.spread.into()), self.settings.position);
-        let rank = (0..CEILING_PARTS.len()).find(|k| keeper(ask.customer, set, n, *k as u32) == Some(me))?;
+        let rank = (0..CEILING_PARTS.len()).find(|k| owner(ask.customer, set, n, *k as u32) == Some(me))?;
         let (part, share) = (CEILING_PARTS[rank], if rank == 0 { 1.0 } else { BACKUP_PART });
         let span = (1000.0 * plan.burst / plan.rate.max(1e-9)).clamp(DEMAND_MS.0, DEMAND_MS.1);
         let a = self.accounts.entry(payer).or_insert_with(|| {
@@ -755,7 +755,7 @@
             (a.demand.rate(now) / if full { a.let_in.rate(now).max(1e-3) } else { quota }) as f32
         };
         let (id, customer, plan_told) = (ask.id, ask.customer, ask.plan);
-        let word = |granted, a: &Account| Word {
+        let word = |granted, a: &Account| GrantReply {
             id,
             customer,
             plan: plan_told,
@@ -796,7 +796,7 @@
     }
 
     /// A granted request has ended: its place is free, and the quota takes what it really used.
-    fn on_done(&mut self, from: u32, born: u32, done: Done) {
+    fn on_settlement(&mut self, from: u32, born: u32, done: Settlement) {
         let Some(grant) = self.grants.get_mut(&(from, born, done.id)) else { return };
         let Some(a) = self.accounts.get_mut(&grant.payer) else { return };
         if grant.done {
@@ -815,8 +815,8 @@
 
     /// Puts a line into the next message to a peer, and sends what the allowance lets through.
     pub(crate) fn tell(&mut self, to: u32, line: Line, out: &mut Vec<Action>) {
-        if let (true, Line::Done(done)) = (to == self.settings.position, line) {
-            return self.on_done(to, self.incarnation, done);
+        if let (true, Line::Settlement(done)) = (to == self.settings.position, line) {
+            return self.on_settlement(to, self.incarnation, done);
         }
         match self
             .outbox
@@ -833,10 +833,10 @@
     /// Whether a line that has waited still says anything to its receiver.
     fn tells(&self, to: u32, at: Millis, line: &Line) -> bool {
         match line {
-            Line::Ask(ask) if !ask.spent => {
+            Line::QuotaRequest(ask) if !ask.spent => {
                 self.requests.get(&ask.id).and_then(|r| r.asked).is_some_and(|a| a.0 == to)
             }
-            Line::Word(_) => self.now - at < WORD_KEPT_MS,
+            Line::GrantReply(_) => self.now - at < GRANT_REPLY_KEPT_MS,
             _ => true,
         }
     }
@@ -847,7 +847,7 @@
         let share = self.own.value(self.now);
         while self.mail.level >= 1.0 {
             // In turn while all go soon: else the few peers of a small tier would starve each other. Behind a
-            // longer queue each word would come too late, be asked for again, and so lengthen it: the newest
+            // longer queue each reply would come too late, be asked for again, and so lengthen it: the newest
             // first.
             let long = self.outbox.len() as f64 > rate * MAIL_PART.1;
             let next = if long { self.outbox.pop_back() } else { self.outbox.pop_front() };
@@ -882,13 +882,15 @@
         for line in lines {
             match line {
                 // After a stall the members that asked have gone on: an answer would only waste units.
-                Line::Ask(ask) if self.woke < self.now => {
-                    if let Some(word) = self.judge(from, born, &ask) {
-                        self.tell(from, Line::Word(word), out);
+                Line::QuotaRequest(ask) if self.woke < self.now => {
+                    if let Some(word) = self.decide(from, born, &ask) {
+                        self.tell(from, Line::GrantReply(word), out);
                     }
                 }
-                Line::Word(word) if word.born == self.incarnation => self.on_word(from, &word, out),
-                Line::Done(done) => self.on_done(from, born, done),
+                Line::GrantReply(word) if word.born == self.incarnation => {
+                    self.on_grant_reply(from, &word, out)
+                }
+                Line::Settlement(done) => self.on_settlement(from, born, done),
                 Line::LeftAsk => self.tell_who_left(from, out),
                 Line::Left(mark) if self.out_of_touch => self.on_left(mark),
                 _ => {}
@@ -897,15 +899,15 @@
     }
 }
 
-/// The position of a customer's keeper of that rank, the same at every limiter; none past the last.
-fn keeper(customer: CustomerId, (first, spread): (u32, u32), limiters: u32, rank: u32) -> Option<u32> {
+/// The position of a customer's owner of that rank, the same at every limiter; none past the last.
+fn owner(customer: CustomerId, (first, spread): (u32, u32), limiters: u32, rank: u32) -> Option<u32> {
     let spread = spread.clamp(1, limiters);
-    let keepers = (CEILING_PARTS.len() as u32).min(spread);
+    let owners = (CEILING_PARTS.len() as u32).min(spread);
     // Fibonacci hashing: customers fall evenly on their sets.
     let hash = (customer.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) as u32;
-    let place = (hash % spread + rank * (spread / keepers)) % spread;
+    let place = (hash % spread + rank * (spread / owners)) % spread;
     let position = (u64::from(first) + u64::from(place)) % u64::from(limiters);
-    (rank < keepers).then_some(position as u32)
+    (rank < owners).then_some(position as u32)
 }
 
 /// Whose quota a request takes its units from.
--- a/src/state.rs
+++ b/src/state.rs
@@ -67,7 +67,7 @@
     }
 }
 
-/// Milliseconds for which the share of grants is remembered: longer than keepers are silent.
+/// Milliseconds for which the share of grants is remembered: longer than owners are silent.
 const KEPT_MS: Millis = 60_000.0;
 
 /// One limiter: all that it remembers. `policy.rs` holds its decisions.
@@ -96,12 +96,12 @@
     pub(crate) mail: Store,
     pub(crate) mail_due: bool,
     pub(crate) missed: BTreeMap<u32, Missed>,
-    /// Asks missed at any keeper since a peer was last heard, and the moment of the last ask.
+    /// Asks missed at any owner since a peer was last heard, and the moment of the last ask.
     pub(crate) unheard: u32,
     pub(crate) last_ask: Millis,
-    /// Share of the asks for customers without a recent word that were granted.
+    /// Share of the requests for customers without a recent reply that were granted.
     pub(crate) strangers: Mean,
-    /// Usual wait for a keeper's word.
+    /// Usual wait for an owner's reply.
     pub(crate) wait_ms: Millis,
     pub(crate) stepped: Millis,
     /// When this limiter last went on after a pause.
@@ -199,7 +199,7 @@
         match wake & 7 {
             WAKE_DEADLINE | WAKE_AIM => open().is_some(),
             WAKE_CHECK => open().is_some_and(|r| r.out),
-            WAKE_WORD => open().is_some_and(|r| r.asked.is_some()),
+            WAKE_GRANT_REPLY => open().is_some_and(|r| r.asked.is_some()),
             _ => true,
         }
     }
@@ -231,28 +231,29 @@
     }
 }
 
-/// Whose quota it is: a customer on another plan, or an id that was given to another customer since, has one of its own.
+/// Whose quota it is: a customer on another plan, or an id that was given to another customer since, has one
+/// of its own.
 pub type Payer = (CustomerId, usize);
 
 /// What a member of a customer's set remembers of it.
 #[derive(Debug)]
 pub struct Customer {
-    /// The even part here, for the time without a keeper.
+    /// The even part here, for the time without an owner.
     pub even: Store,
-    /// Demand at all limiters as a multiple of the quota, as a keeper told it, and when.
+    /// Demand at all limiters as a multiple of the quota, as an owner told it, and when.
     pub told: f64,
     pub told_at: Millis,
-    /// Units in the keeper's store, as told last, less what was spent here since; full until a word comes.
+    /// Units in the owner's store, as told last, less what was spent here since; full until a reply comes.
     pub room: f64,
     /// Units refused by chance since the last ask.
     pub unasked: f64,
     pub seen: Millis,
 }
 
-/// What a keeper holds for a customer.
+/// What an owner holds for a customer.
 #[derive(Debug)]
 pub struct Account {
-    /// Share of the ceiling that this keeper owns.
+    /// Share of the ceiling that this owner owns.
     pub part: f64,
     pub store: Store,
     pub ceiling: Store,
@@ -266,10 +267,10 @@
     pub seen: Millis,
 }
 
-/// A member's request at its keeper: position and start of the member, number of the request.
+/// A member's request at its owner: position and start of the member, number of the request.
 pub type GrantKey = (u32, u32, RequestId);
 
-/// What a keeper answered, kept for repeats and for the end of the request.
+/// What an owner answered, kept for repeats and for the end of the request.
 #[derive(Debug)]
 pub struct Grant {
     pub payer: Payer,
@@ -283,7 +284,7 @@
     pub done: bool,
 }
 
-/// A keeper that left an ask unanswered.
+/// An owner that left an ask unanswered.
 #[derive(Debug, Clone, Copy)]
 pub struct Missed {
     pub misses: u32,
@@ -320,13 +321,13 @@
 pub struct Open {
     pub request: Request,
     pub arrived: Millis,
-    /// Keepers passed over so far, and asks to the present one.
+    /// Owners passed over so far, and asks to the present one.
     pub rank: u32,
     pub asks: u32,
-    /// Waiting for a keeper's word since then.
+    /// Waiting for an owner's reply since then.
     pub asked: Option<(u32, Millis)>,
-    /// The keeper that granted the units.
-    pub keeper: Option<u32>,
+    /// The owner that granted the units.
+    pub owner: Option<u32>,
     /// When the quota let it in.
     pub let_in: Millis,
     pub true_units: Option<f64>,
@@ -349,7 +350,7 @@
             rank: 0,
             asks: 0,
             asked: None,
-            keeper: None,
+            owner: None,
             let_in: now,
             true_units: None,
             deadline,
@@ -411,5 +412,5 @@
 pub const WAKE_DEADLINE: u64 = 1;
 pub const WAKE_AIM: u64 = 2;
 pub const WAKE_CHECK: u64 = 3;
-pub const WAKE_WORD: u64 = 4;
+pub const WAKE_GRANT_REPLY: u64 = 4;
 pub const WAKE_MAIL: u64 = 5;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -24,10 +24,10 @@
     assert!(sent >= 0.85 * quota, "{sent} units sent on of {quota}: the quota is wasted");
 }
 
-/// Without a word from any keeper the members still spend about the quota together, neither each its own
+/// Without a word from any owner the members still spend about the quota together, neither each its own
 /// request nor nothing.
 #[test]
-fn eighty_members_without_keepers_spend_about_the_quota() {
+fn eighty_members_without_owners_spend_about_the_quota() {
     let mut fleet = Fleet::of(LIMITERS, 20, 2);
     fleet.net.loss = 1.0;
     let quota = 12.0 + 6.0 * 12.0;
@@ -85,7 +85,7 @@
     Request { customer, spread: 160, first: (customer * 13 % 200) as u32, ..request(id, SAFE, RATED) }
 }
 
-/// For some seconds no message arrives, so that each request asks its keepers again and again, more than the allowance
+/// For some seconds no message arrives, so that each request asks its owners again and again, more than the allowance
 /// for messages lets through, and clients that are refused come again. Guards against a queue that outlives this: words
 /// that wait behind it come too late, are asked for again and keep it long.
 #[test]
@@ -104,7 +104,7 @@
 /// While no message arrives at all, customers far inside their quotas go on being served, as before, and soon: each
 /// member alone holds a hundredth of a request for each.
 #[test]
-fn calm_customers_are_served_while_all_keepers_are_silent() {
+fn calm_customers_are_served_while_all_owners_are_silent() {
     let mut fleet = Fleet::of(200, 20, 7);
     fleet.play(3000.0, 2.0, calm);
     fleet.net.loss = 1.0;
@@ -114,17 +114,17 @@
     assert!(sent >= 5400, "{sent} of 6000 requests were sent on");
     let asks = (fleet.net.told - told) as usize;
     // Some four a second for each limiter, to find when the others are back, and a few more until all seem silent.
-    assert!(asks <= 200 * 2 * 8, "{asks} asks at keepers that none hears");
+    assert!(asks <= 200 * 2 * 8, "{asks} asks at owners that none hears");
     fleet.net.loss = 0.0;
     fleet.play(3000.0, 1.0, calm);
     let told = fleet.net.told;
     fleet.play(3000.0, 1.0, calm);
-    assert!(fleet.net.told - told > 3000, "keepers are asked again");
+    assert!(fleet.net.told - told > 3000, "owners are asked again");
 }
 
 /// A customer known to ask for ten times its quota is held to a few times that by chance, though nobody keeps its book.
 #[test]
-fn a_greedy_customer_gains_little_while_all_keepers_are_silent() {
+fn a_greedy_customer_gains_little_while_all_owners_are_silent() {
     let mut fleet = Fleet::of(LIMITERS, 20, 8);
     fleet.play(60.0, 4.0, wide);
     fleet.net.loss = 1.0;
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -80,12 +80,12 @@
     assert!(units >= 95.0, "{units} of 100");
 }
 
-/// Haulage-booking-later: a customer far beyond its quota would drown its keeper in asks.
+/// Haulage-booking-later: a customer far beyond its quota would drown its owner in asks.
 #[test]
 fn a_flood_is_refused_by_chance_before_it_asks() {
     let (units, net) = let_in(3, RATED, 20, 200, 0.0);
     assert!((110.0..=140.0).contains(&units), "{units}");
-    // 4000 requests, two thirds of them not at the keeper: an ask and a word each would be 5300.
+    // 4000 requests, two thirds of them not at the owner: an ask and a word each would be 5300.
     assert!(net.told < 1200, "{}", net.told);
 }
 
@@ -122,7 +122,7 @@
 }
 
 #[test]
-fn true_units_are_put_right_at_the_keeper() {
+fn true_units_are_put_right_at_the_owners() {
     let ask = |actual: Option<f64>| {
         let mut rig = Rig::new(Settings { limiters: 1, ..settings(0) }, 3);
         rig.ask(request(1, SAFE, RATED));
@@ -142,17 +142,17 @@
     assert_eq!(ask(Some(4.0)) + 3, ask(None), "three more units were used than guessed");
 }
 
-/// A limiter of twelve that keeps nothing of the customer, whose keepers all stay silent.
+/// A limiter of twelve that keeps nothing of the customer, whose owners all stay silent.
 fn alone(plan: usize, requests: u32) -> usize {
     let position = (0..12)
         .find(|p| {
             let mut rig = Rig::new(Settings { limiters: 12, ..settings(*p) }, 3);
-            // Under a cap on attempts out the keepers are always asked.
+            // Under a cap on attempts out the owners are always asked.
             let out = rig.ask(Request { spread: 12, ..request(1, SAFE, OPEN) });
             let then = rig.pass(30.0);
             sent(&out).is_empty() && sent(&then).is_empty() && !refused(&out)
         })
-        .expect("keepers are three");
+        .expect("owners are three");
     let mut rig = Rig::new(Settings { limiters: 12, ..settings(position) }, 3);
     let mut units = 0;
     for id in 0..requests {
@@ -164,15 +164,15 @@
 }
 
 #[test]
-fn without_a_word_from_any_keeper_the_even_part_is_left() {
-    // A twelfth of 6 units a second for 60 s, or a customer that only keepers may let in.
+fn without_a_word_from_any_owners_the_even_part_is_left() {
+    // A twelfth of 6 units a second for 60 s, or a customer that only owners may let in.
     let units = alone(RATED, 120);
     assert!((10..=40).contains(&units), "{units}");
     assert!(alone(OPEN, 120) > 0);
 }
 
 #[test]
-fn without_a_keeper_no_ceiling_is_spent() {
+fn without_a_owners_no_ceiling_is_spent() {
     assert_eq!(alone(CEILED, 60), 0);
 }
 
@@ -182,22 +182,22 @@
     let ask_of = |p: u32| {
         let mut rig = Rig::new(settings(p), 3);
         rig.ask(request(1, SAFE, RATED)).into_iter().find_map(|a| match a {
-            Action::Tell { to, body } => Some((to.expect("one keeper"), body)),
+            Action::Tell { to, body } => Some((to.expect("one owner"), body)),
             _ => None,
         })
     };
-    let (from, (to, body)) = (0..3).find_map(|p| Some((p, ask_of(p)?))).expect("one of three is no keeper");
+    let (from, (to, body)) = (0..3).find_map(|p| Some((p, ask_of(p)?))).expect("one of three is no owner");
     let answers = |pause: Millis| {
-        let mut keeper = Rig::new(settings(to), 3);
-        keeper.pass(1000.0);
-        keeper.now += pause;
-        keeper.give(Event::Heard { from, body: body.clone() }).len()
+        let mut owner = Rig::new(settings(to), 3);
+        owner.pass(1000.0);
+        owner.now += pause;
+        owner.give(Event::Heard { from, body: body.clone() }).len()
     };
     assert_eq!(answers(50.0), 1);
     assert_eq!(answers(2000.0), 0);
 }
 
-/// Units that the first keeper of a ceiling grants within `ms` to one member that asks all the time, the two
+/// Units that the first owner of a ceiling grants within `ms` to one member that asks all the time, the two
 /// having run for `before`.
 fn granted(before: Millis, ms: u32) -> usize {
     let aged = |p: u32| {
@@ -209,9 +209,9 @@
         let told = Rig::new(settings(*p), 3).ask(request(1, UNSAFE, RATED));
         !told.iter().any(|a| matches!(a, Action::Tell { .. }))
     });
-    let keeper = first.expect("one of three is the first keeper");
-    let member = (keeper + 1) % 3;
-    let (mut asking, mut keeping) = (aged(member), aged(keeper));
+    let owner = first.expect("one of three is the first owner");
+    let member = (owner + 1) % 3;
+    let (mut asking, mut keeping) = (aged(member), aged(owner));
     let mut ids = std::collections::BTreeSet::new();
     // What the member spends of its own part is told, not granted.
     let mut own = std::collections::BTreeSet::new();
@@ -233,14 +233,14 @@
         let mut words = keeping.pass(2.0);
         for a in told {
             if let Action::Tell { to: Some(to), body } = a {
-                if to == keeper {
+                if to == owner {
                     words.extend(keeping.give(Event::Heard { from: member, body }));
                 }
             }
         }
         for a in &words {
             if let Action::Tell { body, .. } = a {
-                asking.give(Event::Heard { from: keeper, body: body.clone() });
+                asking.give(Event::Heard { from: owner, body: body.clone() });
             }
         }
         note(words);
@@ -249,7 +249,7 @@
     ids.difference(&own).count()
 }
 
-/// Units out on grant count against the keeper's depth: spent late, they would come on top of what has filled.
+/// Units out on grant count against the owner's depth: spent late, they would come on top of what has filled.
 #[test]
 fn units_out_on_grant_leave_less_room_to_fill() {
     // 0.62 of a store of 60 and of a slack of 3.
@@ -257,9 +257,9 @@
     assert!((30..=39).contains(&units), "{units}");
 }
 
-/// What a keeper granted before its restart may still be spent for half a second.
+/// What an owner granted before its restart may still be spent for half a second.
 #[test]
-fn a_fresh_keeper_grants_nothing_until_its_old_grants_have_lapsed() {
+fn a_fresh_owners_grants_nothing_until_its_old_grants_have_lapsed() {
     assert_eq!(granted(0.0, 480), 0);
     assert!(granted(0.0, 1500) > 0);
 }
@@ -272,12 +272,12 @@
         .enumerate()
         .find_map(|(p, mut rig)| {
             let told = rig.ask(request(1, SAFE, CEILED)).into_iter().find_map(|a| match a {
-                Action::Tell { to, body } => Some((to.expect("one keeper"), body)),
+                Action::Tell { to, body } => Some((to.expect("one owner"), body)),
                 _ => None,
             });
             Some((p as u32, told?))
         })
-        .expect("one of three is not the keeper");
+        .expect("one of three is not the owner");
     let heard = |from: u32, body: Vec<u8>| {
         let mut rig = Rig::new(settings(to), 3);
         rig.give(Event::Heard { from, body })
@@ -301,15 +301,15 @@
 
 #[test]
 fn an_ask_that_comes_twice_is_debited_once() {
-    let keeper = (0..3).find(|p| !sent(&Rig::new(settings(*p), 3).ask(request(1, SAFE, RATED))).is_empty());
-    let keeper = keeper.expect("one of three keeps it");
-    let other = (keeper + 1) % 3;
+    let owner = (0..3).find(|p| !sent(&Rig::new(settings(*p), 3).ask(request(1, SAFE, RATED))).is_empty());
+    let owner = owner.expect("one of three keeps it");
+    let other = (owner + 1) % 3;
     let told = Rig::new(settings(other), 3).ask(request(1, SAFE, RATED));
     let body =
         told.into_iter().find_map(|a| if let Action::Tell { body, .. } = a { Some(body) } else { None });
     let body = body.expect("an ask");
     let left = |times: usize| {
-        let mut rig = Rig::new(settings(keeper), 3);
+        let mut rig = Rig::new(settings(owner), 3);
         for _ in 0..times {
             rig.give(Event::Heard { from: other, body: body.clone() });
             rig.pass(20.0);
@@ -388,8 +388,8 @@
     assert!(sent(net.pass(150.0), 100), "the lost one is asked for again");
 }
 
-/// Guards against every request standing until its keeper's word has come: one of a customer that is known to have
-/// room, or not known yet, goes on at once, and its keeper counts it all the same.
+/// Guards against every request standing until its owner's word has come: one of a customer that is known to have
+/// room, or not known yet, goes on at once, and its owner counts it all the same.
 #[test]
 fn a_customer_with_room_does_not_wait_for_a_word() {
     for plan in [RATED, CEILED] {
