Have the stand-in for discovery tell its first list until something else is said

Cause, by reading: it told its first list to one call; where a busy machine makes that call too slow it is given up after 200 ms, the next one heard only a keep-alive, and the test waited for readiness in vain. Nothing is checked less.

--- a/marldeal/tests/stubs/mod.rs
+++ b/marldeal/tests/stubs/mod.rs
@@ -148,7 +148,8 @@
     holds: AtomicBool,
     held: Mutex<Vec<TcpStream>>,
     calls: AtomicUsize,
-    /// What a new watch begins with, if not a beat.
+    /// What a new watch begins with, if not a beat: until something else has been said, or a watch has ended. A call
+    /// that a busy machine has made too slow is given up, and the next one has to hear it.
     says: Mutex<Option<String>>,
 }
 
@@ -184,8 +185,6 @@
                     continue;
                 }
                 all.begin(stream);
-                // The first list is told once.
-                *all.says.lock().expect("lock") = None;
                 all.heads.lock().expect("lock").push(message.head);
             }
         });
@@ -202,6 +201,7 @@
     /// Says something on the newest watch.
     pub fn push(&self, text: &str) {
         wait_for("a watch", || !self.watches.heads.lock().expect("lock").is_empty());
+        *self.watches.says.lock().expect("lock") = None;
         if let Some(stream) = self.watches.streams.lock().expect("lock").last_mut() {
             // A beat would end a half line: it is held back from now on.
             self.watches.muted.store(true, Ordering::SeqCst);
@@ -233,9 +233,11 @@
         self.watches.calls.load(Ordering::SeqCst)
     }
     pub fn mute(&self) {
+        *self.watches.says.lock().expect("lock") = None;
         self.watches.muted.store(true, Ordering::SeqCst);
     }
     pub fn end(&self) {
+        *self.watches.says.lock().expect("lock") = None;
         for stream in self.watches.streams.lock().expect("lock").drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
