--- a/src/servers.rs
+++ b/src/servers.rs
@@ -2,6 +2,8 @@
 
 use std::hash::Hasher;
 
+use fnv::FnvHasher;
+
 use crate::interface::*;
 use crate::message::Line;
 use crate::state::*;
@@ -79,7 +81,7 @@
                 s.cold = Store { level, at: now };
             }
             s.entry = e.clone();
-            s.mark = hash(e, 0) as u32;
+            s.mark = hash(e) as u32;
             left.extend((e.condition == Condition::Draining).then_some(s.mark));
         }
         left.into_iter().for_each(|mark| self.note_left(mark));
@@ -270,19 +272,23 @@
 /// Every limiter finds the same set, again after a start of its own, so that it has neither more members nor
 /// others.
 fn in_warming_set(server: &ServerEntry, position: u32, limiters: u32) -> bool {
-    let place = |p: u32| (hash(server, p), p);
+    let all = hash(server);
+    let place = |p: u32| {
+        let mut hasher = FnvHasher::with_key(all);
+        hasher.write(&p.to_be_bytes());
+        // Fibonacci hashing: the position came last, and has moved the low bits alone.
+        (hasher.finish().wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 8, p)
+    };
     let own = place(position);
     (0..limiters).filter(|p| place(*p) < own).count() < WARMING as usize
 }
 
-/// Of a server's id and start, and a number; the same at every limiter.
-fn hash(server: &ServerEntry, number: u32) -> u64 {
-    let mut hasher = fnv::FnvHasher::default();
+/// Of a server's id and start, the same at every limiter.
+fn hash(server: &ServerEntry) -> u64 {
+    let mut hasher = FnvHasher::default();
     hasher.write(server.server.as_bytes());
-    hasher.write_u64(server.started.to_bits());
-    hasher.write_u32(number);
-    // Fibonacci hashing: the number came last, and has moved the low bits alone.
-    hasher.finish().wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 8
+    hasher.write(&server.started.to_bits().to_be_bytes());
+    hasher.finish()
 }
 
 /// A keyed request that may have run stays in the group of servers that drops its repeats.
