Name the crates limiter-core, simulator-adapter and limiter, each in a folder of its own

Cause: the crates had invented names (fawnhill, fawnhill-wirehost, marldeal) and the decisions' package lay in the root folder, so that its sources and tests could not be told from the workspace's. No other line of code changes.

--- a/src/lib.rs
+++ b/limiter-core/src/lib.rs
@@ -4,7 +4,7 @@
 //! There is no clock, thread, network or shared state inside: the caller brings the time with each event.
 //!
 //! ```
-//! use fawnhill::*;
+//! use limiter_core::*;
 //!
 //! let look = Class {
 //!     aim_ms: 1000.0, late_worth: 0.0, effect: Effect::Safe, group: KeyGroup::All, window_ms: 0.0,
--- a/tests/casa.rs
+++ b/limiter-core/tests/casa.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use fawnhill::*;
+use limiter_core::*;
 
 /// Asks for `n` requests of `units` and counts those sent on at once.
 fn burst(rig: &mut Rig, from: RequestId, n: u32, units: f64) -> usize {
--- a/tests/common/fleet.rs
+++ b/limiter-core/tests/common/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use fawnhill::*;
+use limiter_core::*;
 
 use super::*;
 
--- a/tests/common/mod.rs
+++ b/limiter-core/tests/common/mod.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use fawnhill::*;
+use limiter_core::*;
 
 pub const SAFE: usize = 0;
 pub const KEYED: usize = 1;
--- a/tests/fleet.rs
+++ b/limiter-core/tests/fleet.rs
@@ -5,7 +5,7 @@
 
 use common::fleet::*;
 use common::*;
-use fawnhill::*;
+use limiter_core::*;
 
 const LIMITERS: u32 = 100;
 /// A customer of 80 limiters, at the plan of 6 units a second and 12 at once.
--- a/tests/properties.rs
+++ b/limiter-core/tests/properties.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use common::*;
-use fawnhill::*;
+use limiter_core::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
--- a/tests/quota.rs
+++ b/limiter-core/tests/quota.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use fawnhill::*;
+use limiter_core::*;
 
 /// Units let in of one customer within `seconds`, at `per_s` requests of one unit over a set of `n` limiters.
 fn let_in(n: u32, plan: usize, seconds: u32, per_s: u32, loss: f64) -> (f64, Net) {
--- a/tests/rules.rs
+++ b/limiter-core/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use fawnhill::*;
+use limiter_core::*;
 
 #[test]
 fn a_request_without_any_server_is_refused_before_the_client_leaves() {
--- a/tests/slow_start.rs
+++ b/limiter-core/tests/slow_start.rs
@@ -4,7 +4,7 @@
 
 use common::fleet::*;
 use common::*;
-use fawnhill::*;
+use limiter_core::*;
 
 /// Servers at first.
 const SERVERS: u32 = 24;
--- a/marldeal/src/clients.rs
+++ b/limiter/src/clients.rs
@@ -11,7 +11,6 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use fawnhill::{Effect, Request, RequestId};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, RETRY_AFTER, TRANSFER_ENCODING};
@@ -19,6 +18,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use limiter_core::{Effect, Request, RequestId};
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
--- a/marldeal/src/config.rs
+++ b/limiter/src/config.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 
-use fawnhill::Settings;
-use fawnhill_wirehost::wire::{self, Names, Setup};
+use limiter_core::Settings;
 use serde::Deserialize;
+use simulator_adapter::wire::{self, Names, Setup};
 
 use crate::discovery::List;
 
--- a/marldeal/src/discovery.rs
+++ b/limiter/src/discovery.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
-use fawnhill::{Condition, Event, ServerEntry, ServerId, Settings};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use limiter_core::{Condition, Event, ServerEntry, ServerId, Settings};
 use serde::Deserialize;
 use serde_json::Value;
 use tokio::net::TcpStream;
--- a/marldeal/src/driver.rs
+++ b/limiter/src/driver.rs
@@ -9,8 +9,8 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
-use fawnhill::{Action, Condition, Event, Limiter, Load, Outcome, Request, RequestId, ServerId};
 use hyper::header::HeaderValue;
+use limiter_core::{Action, Condition, Event, Limiter, Load, Outcome, Request, RequestId, ServerId};
 use tokio::net::UdpSocket;
 use tokio::sync::{oneshot, Notify};
 
--- a/marldeal/src/main.rs
+++ b/limiter/src/main.rs
@@ -1,4 +1,4 @@
-//! The real limiter: one program that puts the decisions of `fawnhill` on sockets. Start, signals, exit.
+//! The real limiter: one program that puts the decisions of `limiter-core` on sockets. Start, signals, exit.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -26,7 +26,7 @@
     match runtime.map_err(|e| format!("cannot start: {e}")).and_then(|runtime| runtime.block_on(run())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("marldeal: {why}");
+            eprintln!("limiter: {why}");
             ExitCode::FAILURE
         }
     }
--- a/marldeal/src/peers.rs
+++ b/limiter/src/peers.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use fawnhill::Event;
+use limiter_core::Event;
 use tokio::net::UdpSocket;
 
 use crate::driver::Driver;
--- a/marldeal/src/servers.rs
+++ b/limiter/src/servers.rs
@@ -9,13 +9,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use fawnhill::{Outcome, RequestId, ServerId};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Body;
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::header::{HeaderMap, HeaderName};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use limiter_core::{Outcome, RequestId, ServerId};
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
--- a/marldeal/tests/ending.rs
+++ b/limiter/tests/ending.rs
@@ -224,12 +224,12 @@
     let elsewhere = Stub::new(|_, stream| write_ok(stream, "one"));
     let one = Discovery::new(line(1, true, &[("s-1", elsewhere.addr, "active")]));
     let two = Discovery::new(line(1, true, &[("s-2", server.addr, "active")]));
-    let dir = std::env::temp_dir().join(format!("marldeal-ending-{}", std::process::id()));
+    let dir = std::env::temp_dir().join(format!("limiter-ending-{}", std::process::id()));
     std::fs::create_dir_all(&dir).expect("a directory");
     let (pipe, log) = (dir.join("config"), dir.join("log"));
     assert!(Command::new("mkfifo").arg(&pipe).status().expect("mkfifo").success());
     let logged = |what: &str| std::fs::read_to_string(&log).expect("a log").contains(what);
-    let mut command = Command::new(env!("CARGO_BIN_EXE_marldeal"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_limiter"));
     command.env_remove("ROUTER_NAME").env_remove("ROUTER_LISTEN").env_remove("ROUTER_DISCOVERY");
     command.env("ROUTER_CONFIG", &pipe).stderr(File::create(&log).expect("a log"));
     let mut program = Started(command.spawn().expect("the program starts"));
--- a/marldeal/tests/sockets.rs
+++ b/limiter/tests/sockets.rs
@@ -470,7 +470,7 @@
         let (code, text) = Node::refused(|c| c.replacen(from, to, 1));
         assert_eq!(code, Some(1), "{text}");
         assert_eq!(text.trim_end().lines().count(), 1, "{text}");
-        assert!(text.starts_with("marldeal: "), "{text}");
+        assert!(text.starts_with("limiter: "), "{text}");
     }
 }
 
--- a/marldeal/tests/stubs/mod.rs
+++ b/limiter/tests/stubs/mod.rs
@@ -269,14 +269,14 @@
 fn write_config(text: &str) -> PathBuf {
     static NUMBER: AtomicUsize = AtomicUsize::new(0);
     let number = NUMBER.fetch_add(1, Ordering::SeqCst);
-    let path = std::env::temp_dir().join(format!("marldeal-test-{}-{number}.json", std::process::id()));
+    let path = std::env::temp_dir().join(format!("limiter-test-{}-{number}.json", std::process::id()));
     std::fs::write(&path, text).expect("the configuration is written");
     path
 }
 
 fn command(config: &PathBuf, descriptors: u32) -> Command {
     let mut command = Command::new("sh");
-    command.args(["-c", "ulimit -n \"$1\"; exec \"$0\"", env!("CARGO_BIN_EXE_marldeal")]);
+    command.args(["-c", "ulimit -n \"$1\"; exec \"$0\"", env!("CARGO_BIN_EXE_limiter")]);
     command.arg(descriptors.to_string());
     for name in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"] {
         command.env_remove(name);
--- a/wirehost/src/main.rs
+++ b/simulator-adapter/src/main.rs
@@ -6,9 +6,9 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use fawnhill::interface::{Action, Event, ServerEntry};
-use fawnhill::Limiter;
-use fawnhill_wirehost::wire::{self, Batch, Element, In, Names, Out, Reply, Scope};
+use limiter_core::interface::{Action, Event, ServerEntry};
+use limiter_core::Limiter;
+use simulator_adapter::wire::{self, Batch, Element, In, Names, Out, Reply, Scope};
 
 struct Instance {
     id: Arc<str>,
@@ -137,7 +137,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("fawnhill-wirehost: {message}");
+            eprintln!("simulator-adapter: {message}");
             ExitCode::FAILURE
         }
     }
--- a/wirehost/src/wire.rs
+++ b/simulator-adapter/src/wire.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use fawnhill::interface as lib;
+use limiter_core::interface as lib;
 use serde::{Deserialize, Serialize};
 
 /// One line of input.
--- a/wirehost/tests/wire.rs
+++ b/simulator-adapter/tests/wire.rs
@@ -10,7 +10,7 @@
 "Obligations":{"StartCapacity":0.2,"ColdMs":9000,"FallMultiple":3,"TipAfterMs":2000},"Domain":{"MailPerS":60}}"#;
 
 fn run(lines: &[String]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_fawnhill-wirehost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_simulator-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/test.sh
+++ b/test.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 # What deploy/balancer.toml names as policy; the deployment allows 1,200 lines.
-policy=(src/policy.rs src/servers.rs)
+policy=(limiter-core/src/policy.rs limiter-core/src/servers.rs)
 for file in "${policy[@]}"; do
     grep -q "^policy = .*\"$file\"" deploy/balancer.toml || { echo "deploy/balancer.toml does not name $file"; exit 1; }
 done
