--- a/limiter-core/src/message.rs
+++ b/limiter-core/src/message.rs
@@ -1,7 +1,7 @@
 //! How a message between limiters is written. What is told, and what is made of it, is decided in
 //! `policy.rs`.
 
-use crate::interface::{CustomerId, RequestId};
+use crate::event::{CustomerId, RequestId};
 
 /// First byte of each message: another format is not read.
 const MESSAGE_MARK: u8 = 0xfd;
--- a/limiter-core/src/policy.rs
+++ b/limiter-core/src/policy.rs
@@ -2,9 +2,9 @@
 //!
 //! The ordinary path is CASA's (`docs/design.md`): a quota gate, then cost-scaled slots under a moving limit.
 
-use crate::interface::*;
-use crate::legal::check;
+use crate::event::*;
 use crate::message::{has_room, message, read_message, GrantReply, Line, QuotaRequest, Settlement};
+use crate::settings::*;
 pub use crate::state::Limiter;
 use crate::state::*;
 
@@ -93,8 +93,8 @@
 
 impl Limiter {
     /// A limiter that has just started. Settings that cannot be served are an error that names the value.
-    pub fn new(settings: Settings, seed: u64, now: Millis) -> Result<Self, String> {
-        check(&settings)?;
+    pub fn new(settings: Settings, seed: u64, now: Millis) -> Result<Self, SettingsError> {
+        settings.validate()?;
         Ok(Limiter {
             limit: START_LIMIT,
             big: START_LIMIT,
@@ -106,11 +106,11 @@
 
     /// Whether clients may come: the ceilings kept here, which start as if spent, have filled, or others
     /// serve already and are short of this limiter.
-    pub fn settled(&self, now: Millis) -> bool {
+    pub fn is_ready(&self, now: Millis) -> bool {
         let fill_ms = |p: &Plan| 1000.0 * (p.ceiling_burst + p.ceiling_slack) / p.ceiling_rate;
         let ceiled = self.settings.plans.iter().filter(|p| p.ceiling_rate > 0.0);
         let longest = ceiled.map(|p| GRANT_MS + fill_ms(p)).fold(0.0, f64::max).min(MOST_SETTLE_MS);
-        self.joined || !self.settings.may_tell || now - self.born >= longest
+        self.joined || !self.settings.can_gossip || now - self.born >= longest
     }
 
     /// Takes one event in and adds what is to be done to `out`.
@@ -121,34 +121,35 @@
         }
         if !self.started {
             self.started = true;
-            out.push(Action::Wake { after_ms: STEP_MS, token: WAKE_STEP });
+            out.push(Action::SetTimer { after_ms: STEP_MS, token: TimerToken::ControlStep });
             if self.settings.must_subscribe {
-                out.push(Action::Subscribe(true));
+                out.push(Action::SubscribeToEndpoints);
             }
         }
         match event {
-            Event::Servers { whole, entries } => self.on_servers(whole, &entries, out),
-            Event::ListFailed => {
+            Event::EndpointsChanged { complete: whole, endpoints: entries } => {
+                self.on_servers(whole, &entries, out)
+            }
+            Event::WatchFailed => {
                 self.out_of_touch = self.settings.must_subscribe;
-                out.push(Action::Subscribe(true));
+                out.push(Action::SubscribeToEndpoints);
             }
-            Event::Request(request) => self.on_request(request, out),
-            Event::Streaming { id } => drop(self.requests.get_mut(&id).map(|r| r.streaming = true)),
-            Event::AttemptEnded { id, attempt, outcome, took_ms, settled, units, .. } => {
-                if self.attempts.contains_key(&(id, attempt)) || settled {
+            Event::RequestArrived(request) => self.on_request(request, out),
+            Event::ResponseStarted { id } => drop(self.requests.get_mut(&id).map(|r| r.streaming = true)),
+            Event::AttemptEnded { id, attempt, outcome, elapsed_ms, finished, actual_units } => {
+                if self.attempts.contains_key(&(id, attempt)) || finished {
                     if let Some(open) = self.requests.get_mut(&id) {
-                        open.true_units = units;
+                        open.true_units = actual_units;
                     }
-                    self.on_attempt_ended(id, attempt, outcome, took_ms);
-                    self.after_attempt(id, outcome, settled, out);
+                    self.on_attempt_ended(id, attempt, outcome, elapsed_ms);
+                    self.after_attempt(id, outcome, finished, out);
                     self.pump(out);
                 }
             }
-            Event::ClientGone { id } => self.on_client_gone(id, out),
-            Event::Ending { by } => self.on_ending(by, out),
-            Event::Wake { token } => self.on_wake(token, out),
-            Event::Heard { from, body } => self.on_heard(from, &body, out),
-            Event::Probed { .. } | Event::Counted { .. } => {}
+            Event::ClientDisconnected { id } => self.on_client_gone(id, out),
+            Event::ShutdownStarted { deadline } => self.on_ending(deadline, out),
+            Event::TimerFired { token } => self.on_wake(token, out),
+            Event::GossipReceived { from, body } => self.on_heard(from, &body, out),
         }
     }
 
@@ -161,24 +162,24 @@
         {
             return;
         }
-        request.spread = request.spread.clamp(1, self.settings.limiters);
-        request.first %= self.settings.limiters;
-        self.note_units(request.units);
+        request.member_count = request.member_count.clamp(1, self.settings.limiters);
+        request.first_member %= self.settings.limiters;
+        self.note_units(request.cost_units);
         if self.thinned(&request) {
-            out.push(Action::Refuse { id: request.id, retry_ms: self.advice(&request) });
+            out.push(Action::Reject { id: request.id, retry_after_ms: self.advice(&request) });
             return;
         }
-        let aim = self.settings.classes[request.class].aim_ms;
+        let aim = self.settings.classes[request.class].latency_objective_ms;
         // Two rounds early: a wake-up comes up to one round late, and the answer takes its way too.
-        let budget = request.budget_ms.min(self.ends - self.now);
-        let deadline = (budget - 2.0 * self.settings.round_ms).max(0.0);
-        out.push(Action::Wake { after_ms: deadline, token: token(request.id, WAKE_DEADLINE) });
+        let budget = request.timeout_ms.min(self.ends - self.now);
+        let deadline = (budget - 2.0 * self.settings.event_interval_ms).max(0.0);
+        out.push(Action::SetTimer { after_ms: deadline, token: TimerToken::Deadline(request.id) });
         if aim < deadline {
-            out.push(Action::Wake { after_ms: aim, token: token(request.id, WAKE_AIM) });
+            out.push(Action::SetTimer { after_ms: aim, token: TimerToken::LatencyObjective(request.id) });
         }
         let id = request.id;
         let plan = &self.settings.plans[request.plan];
-        let bound = plan.rate > 0.0 || plan.open > 0 || plan.ceiling_rate > 0.0;
+        let bound = plan.rate > 0.0 || plan.max_in_flight > 0 || plan.ceiling_rate > 0.0;
         let open = Open::new(request, self.now, self.now + deadline);
         self.requests.insert(id, open);
         if bound {
@@ -192,18 +193,18 @@
     /// for as long as a server that hangs likes.
     fn on_client_gone(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.close(id, out) else { return };
-        if request.out && self.settings.may_cancel {
-            out.push(Action::Cancel { id, attempt: request.attempts - 1 });
+        if request.out && self.settings.can_cancel {
+            out.push(Action::CancelAttempt { id, attempt: request.attempts - 1 });
         }
     }
 
     /// An answer after the end is none: what would outlast it is given up in time.
     fn on_ending(&mut self, by: Millis, out: &mut Vec<Action>) {
         self.ends = by;
-        let after_ms = (by - 2.0 * self.settings.round_ms - self.now).max(0.0);
+        let after_ms = (by - 2.0 * self.settings.event_interval_ms - self.now).max(0.0);
         for (id, open) in self.requests.iter_mut().filter(|(_, r)| r.deadline > self.now + after_ms) {
             open.deadline = self.now + after_ms;
-            out.push(Action::Wake { after_ms, token: token(*id, WAKE_DEADLINE) });
+            out.push(Action::SetTimer { after_ms, token: TimerToken::Deadline(*id) });
         }
     }
 
@@ -217,7 +218,7 @@
 
     fn try_send(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
         let Some(open) = self.requests.get(&id) else { return true };
-        let slots = self.slots(open.request.units);
+        let slots = self.slots(open.request.cost_units);
         let fits = self.occupied <= 0.0 || self.busy_slots() + slots <= self.limit;
         let server = if fits { self.choose(id) } else { None };
         let sent = server.is_some();
@@ -237,10 +238,12 @@
             self.retries = (self.retries + RETRY_PART.0).min(RETRY_PART.1);
         }
         let class = request.request.class;
-        let check_ms = self.settings.classes[class].aim_ms * CHECK_PART;
-        let begin_ms = match (self.settings.classes[class].effect, request.may_have_run) {
-            (Effect::Keyed, Some((sent, ..))) => {
-                sent + self.settings.classes[class].window_ms - self.settings.round_ms - self.now
+        let check_ms = self.settings.classes[class].latency_objective_ms * CHECK_PART;
+        let begin_ms = match (self.settings.classes[class].idempotency, request.may_have_run) {
+            (Idempotency::WithKey, Some((sent, ..))) => {
+                sent + self.settings.classes[class].dedup_window_ms
+                    - self.settings.event_interval_ms
+                    - self.now
             }
             _ => f64::INFINITY,
         };
@@ -255,8 +258,8 @@
         self.occupied += slots;
         let record = Attempt { server: server.clone(), sent: self.now, slots, class, cancelled: false };
         self.attempts.insert((id, attempt), record);
-        out.push(Action::Send { id, server, cap_ms: 0.0, begin_ms });
-        out.push(Action::Wake { after_ms: check_ms, token: token(id, WAKE_CHECK) });
+        out.push(Action::Forward { id, server, begin_within_ms: begin_ms });
+        out.push(Action::SetTimer { after_ms: check_ms, token: TimerToken::SilenceCheck(id) });
     }
 
     /// Books the end of an attempt: slots, server health, latency, true units.
@@ -266,8 +269,8 @@
         if outcome == Outcome::Cancelled {
             self.ghosts.add(self.now, attempt.slots);
         }
-        let aim = self.settings.classes[attempt.class].aim_ms;
-        let proved = matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::NotSent);
+        let aim = self.settings.classes[attempt.class].latency_objective_ms;
+        let proved = matches!(outcome, Outcome::Rejected | Outcome::ConnectFailed | Outcome::NotSent);
         if !proved {
             // One heavy request says no more than that it missed its aim: a mean of clipped values is not
             // driven by a few. Guards against heavy tails and stuck servers throttling everyone.
@@ -279,7 +282,7 @@
             self.aims.add(self.now, aim);
             self.usual += if self.usual > 0.0 { NEWEST_USUAL } else { 1.0 } * (took - self.usual);
         }
-        self.full.add(self.now, if outcome == Outcome::Full { 1.0 } else { 0.0 });
+        self.full.add(self.now, if outcome == Outcome::Rejected { 1.0 } else { 0.0 });
         if let Some(s) = self.servers.get_mut(&attempt.server) {
             s.out = s.out.saturating_sub(1);
             s.note(self.now, outcome, took, attempt.cancelled);
@@ -295,8 +298,8 @@
     }
 
     /// Goes on after an attempt ended: another attempt where it is safe and paid for, else an end.
-    fn after_attempt(&mut self, id: RequestId, outcome: Outcome, settled: bool, out: &mut Vec<Action>) {
-        if settled || outcome == Outcome::Ok {
+    fn after_attempt(&mut self, id: RequestId, outcome: Outcome, finished: bool, out: &mut Vec<Action>) {
+        if finished || outcome == Outcome::Ok {
             self.close(id, out);
             return;
         }
@@ -311,29 +314,31 @@
     /// Whether the rules and the time left allow another attempt.
     fn may_repeat(&self, request: &Open) -> bool {
         let class = &self.settings.classes[request.request.class];
-        let late = self.now - request.arrived > class.aim_ms && class.late_worth <= 0.0;
+        let late = self.now - request.arrived > class.latency_objective_ms && class.late_value <= 0.0;
         let spent = request.attempts >= self.settings.max_attempts || self.now >= request.deadline;
         if request.out || request.streaming || late || spent {
             return false;
         }
-        match (class.effect, request.may_have_run) {
-            (_, None) | (Effect::Safe, _) => true,
-            (Effect::Unsafe, Some(_)) => false,
-            (Effect::Keyed, Some((sent, ..))) => self.now - sent < class.window_ms - self.settings.round_ms,
+        match (class.idempotency, request.may_have_run) {
+            (_, None) | (Idempotency::Idempotent, _) => true,
+            (Idempotency::NonIdempotent, Some(_)) => false,
+            (Idempotency::WithKey, Some((sent, ..))) => {
+                self.now - sent < class.dedup_window_ms - self.settings.event_interval_ms
+            }
         }
     }
 
     /// Gives the final answer: a refusal where nothing can have run, else a failure that promises nothing.
     fn end(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.close(id, out) else { return };
-        let safe = self.settings.classes[request.request.class].effect == Effect::Safe;
-        if request.out && self.settings.may_cancel {
+        let safe = self.settings.classes[request.request.class].idempotency == Idempotency::Idempotent;
+        if request.out && self.settings.can_cancel {
             let attempt = request.attempts - 1;
             self.attempts.entry((id, attempt)).and_modify(|a| a.cancelled = true);
-            out.push(Action::Cancel { id, attempt });
+            out.push(Action::CancelAttempt { id, attempt });
         }
         if safe || (request.may_have_run.is_none() && !request.out) {
-            out.push(Action::Refuse { id, retry_ms: self.advice(&request.request) });
+            out.push(Action::Reject { id, retry_after_ms: self.advice(&request.request) });
         } else {
             out.push(Action::Fail { id });
         }
@@ -343,9 +348,9 @@
     /// on the rate, after the time that a request may be held.
     fn advice(&self, request: &Request) -> Millis {
         let rate = self.settings.plans[request.plan].rate;
-        let hold_ms = self.settings.classes[request.class].aim_ms * HOLD_PART;
-        let wait_ms = if rate > 0.0 { 1000.0 * request.units / rate } else { hold_ms };
-        if self.settings.may_advise {
+        let hold_ms = self.settings.classes[request.class].latency_objective_ms * HOLD_PART;
+        let wait_ms = if rate > 0.0 { 1000.0 * request.cost_units / rate } else { hold_ms };
+        if self.settings.can_send_retry_after {
             wait_ms
         } else {
             0.0
@@ -356,9 +361,9 @@
     fn close(&mut self, id: RequestId, out: &mut Vec<Action>) -> Option<Open> {
         let open = self.requests.remove(&id)?;
         let Some(owner) = open.owner else { return Some(open) };
-        let units = open.request.units;
+        let units = open.request.cost_units;
         let used = if open.attempts == 0 { 0.0 } else { open.true_units.unwrap_or(units) };
-        if used != units || self.settings.plans[open.request.plan].open > 0 {
+        if used != units || self.settings.plans[open.request.plan].max_in_flight > 0 {
             let done = Settlement { id, used: used as f32 };
             self.tell(owner, Line::Settlement(done), out);
         }
@@ -370,7 +375,7 @@
         for _ in 0..self.held.len() {
             let Some(id) = self.held.pop_front() else { return };
             let Some(request) = self.requests.get_mut(&id).filter(|r| r.held) else { continue };
-            let hold_ms = self.settings.classes[request.request.class].aim_ms * HOLD_PART;
+            let hold_ms = self.settings.classes[request.request.class].latency_objective_ms * HOLD_PART;
             let short = request.attempts == 0 && self.now - request.let_in > hold_ms;
             request.held = false;
             // A repeat that was held may have outlived the time in which servers drop it: asked again here.
@@ -383,24 +388,33 @@
         }
     }
 
-    fn on_wake(&mut self, wake: u64, out: &mut Vec<Action>) {
-        if wake == WAKE_STEP {
-            self.step(out);
-            out.push(Action::Wake { after_ms: STEP_MS, token: WAKE_STEP });
-            return;
-        }
-        if wake == WAKE_MAIL {
-            self.mail_due = false;
-            return self.send_mail(out);
-        }
-        let id = (wake >> 3) as RequestId;
+    fn on_wake(&mut self, token: TimerToken, out: &mut Vec<Action>) {
+        let id = match token {
+            TimerToken::ControlStep => {
+                self.step(out);
+                out.push(Action::SetTimer { after_ms: STEP_MS, token });
+                return;
+            }
+            TimerToken::GossipFlush => {
+                self.mail_due = false;
+                return self.send_mail(out);
+            }
+            TimerToken::Deadline(id)
+            | TimerToken::LatencyObjective(id)
+            | TimerToken::SilenceCheck(id)
+            | TimerToken::GrantReply(id) => id,
+        };
         let Some(request) = self.requests.get(&id).filter(|r| !r.streaming) else { return };
-        match wake & 7 {
-            WAKE_DEADLINE if self.now >= request.deadline => self.end(id, out),
+        match token {
+            TimerToken::Deadline(_) if self.now >= request.deadline => self.end(id, out),
             // Nothing is earned after the aim: ending now frees the server and saves the price of a late end.
-            WAKE_AIM if self.settings.classes[request.request.class].late_worth <= 0.0 => self.end(id, out),
-            WAKE_CHECK => self.check_silence(id, out),
-            WAKE_GRANT_REPLY => self.check_grant_reply(id, out),
+            TimerToken::LatencyObjective(_)
+                if self.settings.classes[request.request.class].late_value <= 0.0 =>
+            {
+                self.end(id, out)
+            }
+            TimerToken::SilenceCheck(_) => self.check_silence(id, out),
+            TimerToken::GrantReply(_) => self.check_grant_reply(id, out),
             _ => {}
         }
     }
@@ -413,7 +427,7 @@
         let attempt = request.attempts - 1;
         let class = &self.settings.classes[request.request.class];
         let Some(record) = self.attempts.get_mut(&(id, attempt)) else { return };
-        if self.now - record.sent < class.aim_ms * CHECK_PART - 1.0 || record.cancelled {
+        if self.now - record.sent < class.latency_objective_ms * CHECK_PART - 1.0 || record.cancelled {
             return;
         }
         let Some(server) = self.servers.get_mut(&record.server) else { return };
@@ -422,15 +436,16 @@
         }
         let after_ms = server.latency(self.now, self.usual) * SLOW_TIMES - (self.now - record.sent);
         if after_ms > 1.0 {
-            return out.push(Action::Wake { after_ms, token: token(id, WAKE_CHECK) });
+            return out.push(Action::SetTimer { after_ms, token: TimerToken::SilenceCheck(id) });
         }
         // What a silent server holds takes no room from the others.
         self.occupied = (self.occupied - record.slots).max(0.0);
         record.slots = 0.0;
-        let repeats = class.effect != Effect::Unsafe && request.attempts < self.settings.max_attempts;
-        if repeats && self.settings.may_cancel && self.retries >= 1.0 {
+        let repeats =
+            class.idempotency != Idempotency::NonIdempotent && request.attempts < self.settings.max_attempts;
+        if repeats && self.settings.can_cancel && self.retries >= 1.0 {
             record.cancelled = true;
-            out.push(Action::Cancel { id, attempt });
+            out.push(Action::CancelAttempt { id, attempt });
         } else {
             server.silent(self.now);
         }
@@ -493,7 +508,7 @@
         self.set_bounds();
         self.feedback();
         self.pump(out);
-        out.extend(self.servers.iter_mut().filter_map(|(id, s)| s.watch(id)).map(Action::Log));
+        out.extend(self.servers.iter_mut().filter_map(|(id, s)| s.watch(id)).map(Action::LogEjection));
         self.drop_idle();
     }
 
@@ -517,7 +532,7 @@
         };
         let count = customers.len();
         customers.retain(|k, c| *now - c.seen < kept_ms(k.1, count));
-        let longest = settings.classes.iter().map(|c| c.aim_ms).fold(0.0, f64::max);
+        let longest = settings.classes.iter().map(|c| c.latency_objective_ms).fold(0.0, f64::max);
         grants.retain(|_, g| {
             let age = *now - g.at;
             if let Some(a) = accounts.get_mut(&g.payer) {
@@ -542,7 +557,7 @@
     fn customer(&mut self, request: &Request) -> &mut Customer {
         let now = self.now;
         let whole = self.settings.plans[request.plan].burst;
-        let burst = whole / f64::from(request.spread);
+        let burst = whole / f64::from(request.member_count);
         self.customers.entry(payer(request)).or_insert_with(|| {
             // Not a whole request's units: each of a hundred members would give them away once more.
             let even = Store { level: burst, at: now };
@@ -563,7 +578,7 @@
             return false;
         }
         let refuse = chance_in < 1.0 - ASK_OVER / c.told.max(1e-9);
-        c.unasked += if refuse { request.units } else { 0.0 };
+        c.unasked += if refuse { request.cost_units } else { 0.0 };
         refuse
     }
 
@@ -572,12 +587,14 @@
     fn spend(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id).map(|open| open.request.clone()) else { return };
         let (me, plan) = (self.settings.position, &self.settings.plans[request.plan]);
-        let first = owner(request.customer, (request.first, request.spread), self.settings.limiters, 0);
-        let Some(first) = first.filter(|k| *k != me && self.settings.may_tell && plan.open == 0) else {
+        let first =
+            owner(request.customer, (request.first_member, request.member_count), self.settings.limiters, 0);
+        let Some(first) = first.filter(|k| *k != me && self.settings.can_gossip && plan.max_in_flight == 0)
+        else {
             return self.ask(id, out);
         };
-        let (now, units, ceiled) = (self.now, request.units, plan.ceiling_rate > 0.0);
-        let (part, least) = (f64::from(request.spread).recip(), plan.burst * ROOM_PART);
+        let (now, units, ceiled) = (self.now, request.cost_units, plan.ceiling_rate > 0.0);
+        let (part, least) = (f64::from(request.member_count).recip(), plan.burst * ROOM_PART);
         let Some(c) = self.customers.get_mut(&payer(&request)) else { return };
         c.even.fill(now, plan.rate * part, (plan.burst * part).max(units));
         // A part that holds no whole request belongs to no member: the owner's store decides.
@@ -602,9 +619,9 @@
             id: request.id,
             customer: request.customer,
             plan: request.plan as u8,
-            first: request.first as u16,
-            spread: request.spread as u16,
-            units: request.units as f32,
+            first: request.first_member as u16,
+            spread: request.member_count as u16,
+            units: request.cost_units as f32,
             unasked: self.customers.get(&payer(request)).map_or(0.0, |c| c.unasked) as f32,
             spent: false,
         }
@@ -615,13 +632,13 @@
         loop {
             let Some(open) = self.requests.get(&id) else { return };
             let request = &open.request;
-            let aim = self.settings.classes[request.class].aim_ms;
+            let aim = self.settings.classes[request.class].latency_objective_ms;
             let none_heard = self.unheard >= ALL_SILENT.0 && self.now - self.last_ask < ALL_SILENT.1;
             let silent = |k: u32| {
                 let missed = self.missed.get(&k);
                 none_heard || missed.is_some_and(|m| m.misses >= SILENT_MISSES && self.now - m.at < SILENT_MS)
             };
-            let set = (request.first, request.spread);
+            let set = (request.first_member, request.member_count);
             let Some(owner) = owner(request.customer, set, self.settings.limiters, open.rank)
                 .filter(|_| self.now - open.arrived < GRANT_REPLY_PART * aim)
             else {
@@ -632,12 +649,12 @@
                 if let Some(word) = self.decide(owner, self.incarnation, &ask) {
                     return self.on_grant_reply(owner, &word, out);
                 }
-            } else if self.settings.may_tell && !silent(owner) {
+            } else if self.settings.can_gossip && !silent(owner) {
                 let now = self.now;
                 self.last_ask = now;
                 self.requests.entry(id).and_modify(|r| (r.asked, r.asks) = (Some((owner, now)), r.asks + 1));
-                let after_ms = self.wait_ms * LATE_TIMES + 2.0 * self.settings.round_ms;
-                out.push(Action::Wake { after_ms, token: token(id, WAKE_GRANT_REPLY) });
+                let after_ms = self.wait_ms * LATE_TIMES + 2.0 * self.settings.event_interval_ms;
+                out.push(Action::SetTimer { after_ms, token: TimerToken::GrantReply(id) });
                 return self.tell(owner, Line::QuotaRequest(ask), out);
             }
             self.requests.entry(id).and_modify(|r| (r.rank, r.asks) = (r.rank + 1, 0));
@@ -650,7 +667,7 @@
         let late = self.wait_ms * LATE_TIMES;
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some((owner, at)) = open.asked else { return };
-        let word_ms = GRANT_REPLY_PART * self.settings.classes[open.request.class].aim_ms;
+        let word_ms = GRANT_REPLY_PART * self.settings.classes[open.request.class].latency_objective_ms;
         let asks = |l: &(Millis, Line)| matches!(l.1, Line::QuotaRequest(a) if a.id == id && !a.spent);
         // Not sent yet: it is this limiter that is late.
         let unsent = self.now - open.arrived < word_ms
@@ -658,8 +675,8 @@
         // The usual wait has grown since the ask: without another look a lost reply would never be missed.
         if unsent || self.now - at < late {
             let at = if unsent { self.now } else { at };
-            let after_ms = at + late - self.now + self.settings.round_ms;
-            return out.push(Action::Wake { after_ms, token: token(id, WAKE_GRANT_REPLY) });
+            let after_ms = at + late - self.now + self.settings.event_interval_ms;
+            return out.push(Action::SetTimer { after_ms, token: TimerToken::GrantReply(id) });
         }
         self.unheard += 1;
         let missed = self.missed.entry(owner).or_insert(Missed { misses: 0, at });
@@ -703,13 +720,13 @@
     /// that such a customer is refused.
     fn by_even_part(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.requests.get_mut(&id) else { return };
-        let (request, units) = (&open.request, open.request.units);
+        let (request, units) = (&open.request, open.request.cost_units);
         let plan = &self.settings.plans[request.plan];
         let Some(c) = self.customers.get_mut(&payer(request)) else { return };
-        let most = if plan.rate > 0.0 { plan.burst } else { f64::from(plan.open) * units };
-        let aim_s = self.settings.classes[request.class].aim_ms / 1000.0;
+        let most = if plan.rate > 0.0 { plan.burst } else { f64::from(plan.max_in_flight) * units };
+        let aim_s = self.settings.classes[request.class].latency_objective_ms / 1000.0;
         let rate = if plan.rate > 0.0 { plan.rate } else { most / aim_s };
-        let part = f64::from(request.spread).recip();
+        let part = f64::from(request.member_count).recip();
         c.even.fill(self.now, rate * part, (most * part).max(units));
         let known = (c.told_at > f64::NEG_INFINITY).then(|| c.told.max(1.0).recip());
         let usual = known.or(self.strangers.value(self.now)).unwrap_or(0.0);
@@ -750,7 +767,7 @@
         a.seen = now;
         // Demand as a multiple of the quota; of what was let in where a cap on attempts out is full.
         let over = |a: &Account| {
-            let full = plan.open > 0 && a.open >= plan.open;
+            let full = plan.max_in_flight > 0 && a.open >= plan.max_in_flight;
             let quota = if plan.rate > 0.0 { plan.rate } else { f64::INFINITY };
             (a.demand.rate(now) / if full { a.let_in.rate(now).max(1e-3) } else { quota }) as f32
         };
@@ -772,7 +789,7 @@
         a.store.fill(now, plan.rate * share, plan.burst * share);
         a.ceiling.fill(now, plan.ceiling_rate * a.part, plan.ceiling_burst * a.part - a.lent);
         let inside = plan.rate <= 0.0 || a.store.level >= units;
-        let room = plan.open == 0 || a.open < plan.open;
+        let room = plan.max_in_flight == 0 || a.open < plan.max_in_flight;
         let ceiled = plan.ceiling_rate > 0.0;
         let under = !ceiled || a.ceiling.level - units >= -plan.ceiling_slack * a.part;
         // What a member has spent takes its units in any case, but from the quota alone: it had its own part
@@ -842,7 +859,7 @@
     }
 
     pub(crate) fn send_mail(&mut self, out: &mut Vec<Action>) {
-        let rate = self.settings.messages_per_s * MAIL_PART.0;
+        let rate = self.settings.gossip_messages_per_s * MAIL_PART.0;
         self.mail.fill(self.now, rate, (rate * MAIL_PART.1).max(1.0));
         let share = self.own.value(self.now);
         while self.mail.level >= 1.0 {
@@ -858,12 +875,13 @@
                 continue;
             }
             self.mail.level -= 1.0;
-            out.push(Action::Tell { to: Some(to), body: message(self.incarnation, share, &lines) });
+            out.push(Action::SendGossip { to, body: message(self.incarnation, share, &lines) });
         }
         if !self.mail_due && !self.outbox.is_empty() && rate > 0.0 {
             self.mail_due = true;
-            let after_ms = ((1.0 - self.mail.level) * 1000.0 / rate).max(self.settings.round_ms.max(1.0));
-            out.push(Action::Wake { after_ms, token: WAKE_MAIL });
+            let after_ms =
+                ((1.0 - self.mail.level) * 1000.0 / rate).max(self.settings.event_interval_ms.max(1.0));
+            out.push(Action::SetTimer { after_ms, token: TimerToken::GossipFlush });
         }
     }
 
--- a/limiter-core/src/servers.rs
+++ b/limiter-core/src/servers.rs
@@ -4,8 +4,9 @@
 
 use fnv::FnvHasher;
 
-use crate::interface::*;
+use crate::event::*;
 use crate::message::Line;
+use crate::settings::*;
 use crate::state::*;
 
 // Choice.
@@ -53,7 +54,7 @@
 const FULL_MS: Millis = 100.0;
 
 impl Limiter {
-    pub(crate) fn on_servers(&mut self, whole: bool, entries: &[ServerEntry], out: &mut Vec<Action>) {
+    pub(crate) fn on_servers(&mut self, whole: bool, entries: &[Endpoint], out: &mut Vec<Action>) {
         self.out_of_touch = false;
         let now = self.now;
         let named = |id: &ServerId| entries.iter().any(|e| e.server == *id);
@@ -66,26 +67,26 @@
             });
         }
         for e in entries {
-            if e.condition == Condition::Gone {
+            if e.state == EndpointState::Removed {
                 left.extend(self.servers.remove(&e.server).map(|s| s.mark));
                 continue;
             }
-            let cold = e.started > 0.0 && now - e.started < self.settings.cold_ms;
+            let cold = e.started_at > 0.0 && now - e.started_at < self.settings.slow_start_ms;
             let fresh = || Server::new(e.clone(), now, PACE_MS);
             let s = self.servers.entry(e.server.clone()).or_insert_with(fresh);
-            if cold && s.cold_from.is_none_or(|from| from < e.started) {
-                s.cold_from = Some(e.started);
+            if cold && s.cold_from.is_none_or(|from| from < e.started_at) {
+                s.cold_from = Some(e.started_at);
                 // All are told at once: those of the set start somewhere between none and one, so that they
                 // come one after the other, and the others never get to one. One that has started since
                 // begins with none: it may have spent its first send before.
-                let begins = if self.born > e.started { 0.0 } else { self.rng.f64() };
+                let begins = if self.born > e.started_at { 0.0 } else { self.rng.f64() };
                 let warms = in_warming_set(e, self.settings.position, self.settings.limiters);
                 let level = if warms { begins } else { f64::NEG_INFINITY };
                 s.cold = Store { level, at: now };
             }
             s.entry = e.clone();
             s.mark = hash(e) as u32;
-            left.extend((e.condition == Condition::Draining).then_some(s.mark));
+            left.extend((e.state == EndpointState::Draining).then_some(s.mark));
         }
         left.into_iter().for_each(|mark| self.note_left(mark));
         self.order = self.servers.keys().cloned().collect();
@@ -104,7 +105,7 @@
     /// has told others in time is asked of them, one after the other, until it answers here.
     pub(crate) fn ask_who_left(&mut self, out: &mut Vec<Action>) {
         let (now, n) = (self.now, self.settings.limiters);
-        if self.out_of_touch && self.settings.may_tell && n > 1 && now - self.peer_asked >= PEER_ASK_MS {
+        if self.out_of_touch && self.settings.can_gossip && n > 1 && now - self.peer_asked >= PEER_ASK_MS {
             self.peer_asked = now;
             let peer = (self.settings.position + self.rng.u32(1..n)) % n;
             self.tell(peer, Line::LeftAsk, out);
@@ -125,8 +126,8 @@
     /// has come is not taken from a peer.
     pub(crate) fn on_left(&mut self, mark: u32) {
         let here = self.servers.values_mut().find(|s| s.mark == mark);
-        if let Some(s) = here.filter(|s| s.entry.condition == Condition::Serving) {
-            s.entry.condition = Condition::Draining;
+        if let Some(s) = here.filter(|s| s.entry.state == EndpointState::Serving) {
+            s.entry.state = EndpointState::Draining;
             self.note_left(mark);
         }
     }
@@ -136,7 +137,7 @@
     /// came to many times what a server can do. With none left the last figure stands.
     pub(crate) fn set_pace(&mut self) {
         let Limiter { servers, settings, now, born, pace, .. } = self;
-        let warm = |s: &&Server| s.cold_from.is_none() && s.entry.condition == Condition::Serving;
+        let warm = |s: &&Server| s.cold_from.is_none() && s.entry.state == EndpointState::Serving;
         // Most servers of a large fleet have never answered here: their rate costs nothing.
         let rate = |s: &Server| if s.served.sum > 0.0 { s.served.rate(*now) } else { 0.0 };
         let (rates, warm) =
@@ -216,15 +217,15 @@
                 self.errors += NEWEST * (1.0 - self.errors);
                 if self.errors >= BAD_ERRORS {
                     self.errors = BAD_ERRORS / 2.0;
-                    self.set_aside(now, "failing");
+                    self.set_aside(now, EjectionReason::Errors);
                 }
             }
-            Outcome::Full => {
+            Outcome::Rejected => {
                 self.alive(now);
                 self.full_until = now + FULL_MS;
             }
             Outcome::Cancelled if !cancelled => {}
-            Outcome::Cancelled | Outcome::TimedOut | Outcome::Severed | Outcome::NoConnection => {
+            Outcome::Cancelled | Outcome::TimedOut | Outcome::ConnectionLost | Outcome::ConnectFailed => {
                 self.silent(now);
             }
             Outcome::NotSent => {}
@@ -234,11 +235,11 @@
     pub(crate) fn silent(&mut self, now: Millis) {
         self.silences += 1;
         if self.silences >= BAD_SILENCES {
-            self.set_aside(now, "silent");
+            self.set_aside(now, EjectionReason::NoResponse);
         }
     }
 
-    fn set_aside(&mut self, now: Millis, why: &'static str) {
+    fn set_aside(&mut self, now: Millis, why: EjectionReason) {
         if now >= self.aside_until {
             self.aside_for = (self.aside_for * 2.0).clamp(ASIDE_MS.0, ASIDE_MS.1);
             self.aside_until = now + self.aside_for;
@@ -249,7 +250,7 @@
     /// Whether anything new may go there now: serving, not full, and within a cold one's part.
     fn may_have(&mut self, now: Millis, pace: f64, settings: &Settings) -> bool {
         let silent = self.silences >= BAD_SILENCES && self.out > 0;
-        if self.entry.condition != Condition::Serving || now < self.full_until || silent {
+        if self.entry.state != EndpointState::Serving || now < self.full_until || silent {
             return false;
         }
         self.warm_up(now, pace, settings);
@@ -260,21 +261,21 @@
     /// that its pace has faded by its next request, and would not tell of the time between.
     pub(crate) fn warm_up(&mut self, now: Millis, pace: f64, settings: &Settings) {
         let Some(from) = self.cold_from else { return };
-        let age = (now - from) / settings.cold_ms.max(1.0);
+        let age = (now - from) / settings.slow_start_ms.max(1.0);
         if age >= 1.0 {
             self.cold_from = None;
             return;
         }
-        let share = settings.cold_share + (1.0 - settings.cold_share) * age.max(0.0);
+        let share = settings.cold_capacity_fraction + (1.0 - settings.cold_capacity_fraction) * age.max(0.0);
         let each_for = (f64::from(settings.limiters) / f64::from(WARMING)).max(1.0);
-        self.cold.fill(now, pace * share * COLD_PART * settings.fall_multiple * each_for, 1.0);
+        self.cold.fill(now, pace * share * COLD_PART * settings.overload_factor * each_for, 1.0);
     }
 }
 
 /// Whether this limiter is of the warming set of a server that has just started: the first of all by a hash.
 /// Every limiter finds the same set, again after a start of its own, so that it has neither more members nor
 /// others.
-fn in_warming_set(server: &ServerEntry, position: u32, limiters: u32) -> bool {
+fn in_warming_set(server: &Endpoint, position: u32, limiters: u32) -> bool {
     let all = hash(server);
     let place = |p: u32| {
         let mut hasher = FnvHasher::with_key(all);
@@ -287,21 +288,21 @@
 }
 
 /// Of a server's id and start, the same at every limiter.
-fn hash(server: &ServerEntry) -> u64 {
+fn hash(server: &Endpoint) -> u64 {
     let mut hasher = FnvHasher::default();
     hasher.write(server.server.as_bytes());
-    hasher.write(&server.started.to_bits().to_be_bytes());
+    hasher.write(&server.started_at.to_bits().to_be_bytes());
     hasher.finish()
 }
 
 /// A keyed request that may have run stays in the group of servers that drops its repeats.
 fn in_group(request: &Open, server: &Server, settings: &Settings) -> bool {
     let class = &settings.classes[request.request.class];
-    match (class.effect, request.may_have_run) {
-        (Effect::Keyed, Some((_, zone, cell))) => match class.group {
-            KeyGroup::All => true,
-            KeyGroup::Zone => server.entry.zone == zone,
-            KeyGroup::Cell => server.entry.cell == cell,
+    match (class.idempotency, request.may_have_run) {
+        (Idempotency::WithKey, Some((_, zone, cell))) => match class.dedup_scope {
+            DedupScope::All => true,
+            DedupScope::Zone => server.entry.zone == zone,
+            DedupScope::Cell => server.entry.cell == cell,
         },
         _ => true,
     }
--- a/limiter-core/src/state.rs
+++ b/limiter-core/src/state.rs
@@ -2,8 +2,9 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use crate::interface::*;
+use crate::event::*;
 use crate::message::Line;
+use crate::settings::Settings;
 
 /// A value that fades towards nothing: a sum of amounts over `span` milliseconds.
 #[derive(Debug, Clone, Copy)]
@@ -191,27 +192,26 @@
 }
 
 impl Limiter {
-    /// Whether a wake-up asked for still means something. One for a request that is over, an ask that was
-    /// answered or an attempt that has ended does nothing when it comes, so that the caller need not wait for
-    /// it; it may come all the same.
-    pub fn wants(&self, wake: u64) -> bool {
-        let open = || self.requests.get(&((wake >> 3) as RequestId));
-        match wake & 7 {
-            WAKE_DEADLINE | WAKE_AIM => open().is_some(),
-            WAKE_CHECK => open().is_some_and(|r| r.out),
-            WAKE_GRANT_REPLY => open().is_some_and(|r| r.asked.is_some()),
-            _ => true,
+    /// Whether a timer still has a purpose. One for a request that has finished, a quota request that was
+    /// answered or an attempt that has ended does nothing when it fires, so that the caller may drop it.
+    pub fn is_live(&self, token: TimerToken) -> bool {
+        let open = |id| self.requests.get(&id);
+        match token {
+            TimerToken::Deadline(id) | TimerToken::LatencyObjective(id) => open(id).is_some(),
+            TimerToken::SilenceCheck(id) => open(id).is_some_and(|r| r.out),
+            TimerToken::GrantReply(id) => open(id).is_some_and(|r| r.asked.is_some()),
+            TimerToken::ControlStep | TimerToken::GossipFlush => true,
         }
     }
 }
 
 /// How much a limiter keeps in mind; each is bounded, whatever comes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Kept {
+pub struct CacheSizes {
     /// Customers of whom it is a member.
-    pub customers: usize,
+    pub member_quotas: usize,
     /// Customers whose quota it owns.
-    pub accounts: usize,
+    pub owner_quotas: usize,
     /// Answers that it gave as an owner, for repeats.
     pub grants: usize,
     /// Open requests.
@@ -220,11 +220,11 @@
 
 impl Limiter {
     /// What is kept at this moment.
-    pub fn kept(&self) -> Kept {
+    pub fn cache_sizes(&self) -> CacheSizes {
         let Limiter { customers, accounts, grants, requests, .. } = self;
-        Kept {
-            customers: customers.len(),
-            accounts: accounts.len(),
+        CacheSizes {
+            member_quotas: customers.len(),
+            owner_quotas: accounts.len(),
             grants: grants.len(),
             requests: requests.len(),
         }
@@ -293,7 +293,7 @@
 
 #[derive(Debug)]
 pub struct Server {
-    pub entry: ServerEntry,
+    pub entry: Endpoint,
     /// Names this start of it between limiters.
     pub mark: u32,
     /// Attempts of this limiter out there.
@@ -305,7 +305,7 @@
     pub aside_until: Millis,
     pub aside_for: Millis,
     /// Why, until the log has told.
-    pub aside_why: Option<&'static str>,
+    pub aside_why: Option<EjectionReason>,
     pub full_until: Millis,
     pub last_answer: Millis,
     /// It counts as cold from this moment on.
@@ -374,14 +374,14 @@
 }
 
 impl Server {
-    /// A line for the staff when the server has been set aside.
-    pub fn watch(&mut self, id: &ServerId) -> Option<String> {
-        let why = self.aside_why.take()?;
-        Some(format!("server {id} {why}, set aside for {} ms", self.aside_for))
+    /// The ejection that has not been logged yet.
+    pub fn watch(&mut self, id: &ServerId) -> Option<Ejection> {
+        let reason = self.aside_why.take()?;
+        Some(Ejection { server: id.clone(), reason, duration_ms: self.aside_for })
     }
 
     /// `span` is the time over which its answers are counted.
-    pub fn new(entry: ServerEntry, now: Millis, span: Millis) -> Self {
+    pub fn new(entry: Endpoint, now: Millis, span: Millis) -> Self {
         Server {
             mark: 0,
             entry,
@@ -401,16 +401,3 @@
         }
     }
 }
-
-/// The token of a wake-up: a request and, in the three low bits, a kind.
-pub fn token(id: RequestId, kind: u64) -> u64 {
-    u64::from(id) << 3 | kind
-}
-
-/// Kinds of wake-up, kept in the low bits of a token, the request above them.
-pub const WAKE_STEP: u64 = 0;
-pub const WAKE_DEADLINE: u64 = 1;
-pub const WAKE_AIM: u64 = 2;
-pub const WAKE_CHECK: u64 = 3;
-pub const WAKE_GRANT_REPLY: u64 = 4;
-pub const WAKE_MAIL: u64 = 5;
--- a/limiter-core/tests/casa.rs
+++ b/limiter-core/tests/casa.rs
@@ -6,7 +6,7 @@
 
 /// Asks for `n` requests of `units` and counts those sent on at once.
 fn burst(rig: &mut Rig, from: RequestId, n: u32, units: f64) -> usize {
-    let ask = |id| Request { units, ..request(id, KEYED, FREE) };
+    let ask = |id| Request { cost_units: units, ..request(id, KEYED, FREE) };
     (from..from + n).map(|id| sent(&rig.ask(ask(id))).len()).sum()
 }
 
@@ -23,7 +23,7 @@
     for round in 0..20 {
         let ids = round * 100..round * 100 + 10;
         for id in ids.clone() {
-            rig.ask(Request { units: if id % 2 == 0 { 1.0 } else { 8.0 }, ..request(id, KEYED, FREE) });
+            rig.ask(Request { cost_units: if id % 2 == 0 { 1.0 } else { 8.0 }, ..request(id, KEYED, FREE) });
         }
         rig.pass(100.0);
         answer(&mut rig, ids, 900.0);
@@ -44,7 +44,7 @@
     let sent_on = burst(&mut rig, 10_000, 300, 1.0);
     assert!((1..100).contains(&sent_on), "{sent_on}");
     let later = rig.pass(500.0);
-    let refusals = later.iter().filter(|a| matches!(a, Action::Refuse { .. })).count();
+    let refusals = later.iter().filter(|a| matches!(a, Action::Reject { .. })).count();
     assert_eq!(refusals, 300 - sent_on, "keyed requests that never ran are refused, not failed");
 }
 
@@ -131,7 +131,7 @@
 fn a_server_that_was_silent_is_back_in_full_once_it_answers() {
     let mut rig = Rig::new(Settings { limiters: 1, ..settings(0) }, 1);
     for id in 0..5 {
-        rig.ask(Request { spread: 1, ..request(id, UNSAFE, FREE) });
+        rig.ask(Request { member_count: 1, ..request(id, UNSAFE, FREE) });
     }
     rig.pass(990.0);
     for id in 0..5 {
@@ -189,7 +189,7 @@
 #[test]
 fn a_larger_server_gets_more() {
     let mut rig = Rig::new(settings(0), 0);
-    rig.list(true, vec![entry(1), ServerEntry { weight: 3.0, ..entry(2) }]);
+    rig.list(true, vec![entry(1), Endpoint { weight: 3.0, ..entry(2) }]);
     let to: Vec<_> = (0..40).flat_map(|id| sent(&rig.ask(request(id, SAFE, FREE)))).collect();
     let large = to.iter().filter(|s| **s == server(2)).count();
     assert!((28..=32).contains(&large), "three in four: {large}");
--- a/limiter-core/tests/common/fleet.rs
+++ b/limiter-core/tests/common/fleet.rs
@@ -59,12 +59,12 @@
 
     pub fn take(&mut self, limiter: usize, actions: Vec<Action>) {
         for a in actions {
-            if let Action::Refuse { id, .. } = a {
+            if let Action::Reject { id, .. } = a {
                 if id / AGAIN + 1 < self.tries {
                     self.again.push((self.net.now + 100.0 + 200.0 * self.rng.f64(), id + AGAIN));
                 }
             }
-            if let Action::Send { id, server, .. } = a {
+            if let Action::Forward { id, server, .. } = a {
                 self.sent += 1;
                 self.sent_on.push(id);
                 let now = self.net.now;
@@ -82,9 +82,9 @@
         }
     }
 
-    pub fn list(&mut self, entries: Vec<ServerEntry>) {
+    pub fn list(&mut self, entries: Vec<Endpoint>) {
         for limiter in 0..self.net.rigs.len() {
-            let list = Event::Servers { whole: false, entries: entries.clone().into() };
+            let list = Event::EndpointsChanged { complete: false, endpoints: entries.clone().into() };
             let actions = self.net.give(limiter, list);
             self.take(limiter, actions);
         }
@@ -105,8 +105,8 @@
                 due += 1000.0 / per_s;
                 self.next += 1;
                 let r = request(self.next);
-                let at = (r.first + self.rng.u32(0..r.spread)) % self.net.rigs.len() as u32;
-                let actions = self.net.give(at as usize, Event::Request(r));
+                let at = (r.first_member + self.rng.u32(0..r.member_count)) % self.net.rigs.len() as u32;
+                let actions = self.net.give(at as usize, Event::RequestArrived(r));
                 self.take(at as usize, actions);
             }
             let now = self.net.now;
@@ -115,8 +115,8 @@
             let due_again: Vec<(Millis, RequestId)> = due_again;
             for (_, id) in due_again {
                 let r = request(id);
-                let at = (r.first + self.rng.u32(0..r.spread)) % self.net.rigs.len() as u32;
-                let actions = self.net.give(at as usize, Event::Request(r));
+                let at = (r.first_member + self.rng.u32(0..r.member_count)) % self.net.rigs.len() as u32;
+                let actions = self.net.give(at as usize, Event::RequestArrived(r));
                 self.take(at as usize, actions);
             }
             for (limiter, action) in self.net.pass(8.0) {
@@ -127,15 +127,14 @@
             self.answers = open;
             let over: Vec<_> = over;
             for (_, limiter, id, attempt, full) in over {
-                let (outcome, load) = (if full { Outcome::Full } else { Outcome::Ok }, Load::default());
+                let outcome = if full { Outcome::Rejected } else { Outcome::Ok };
                 let ended = Event::AttemptEnded {
                     id,
                     attempt,
                     outcome,
-                    took_ms: 100.0,
-                    settled: !full,
-                    units: None,
-                    load,
+                    elapsed_ms: 100.0,
+                    finished: !full,
+                    actual_units: None,
                 };
                 let actions = self.net.give(limiter, ended);
                 self.take(limiter, actions);
--- a/limiter-core/tests/common/mod.rs
+++ b/limiter-core/tests/common/mod.rs
@@ -15,15 +15,21 @@
 pub const OPEN: usize = 2;
 pub const FREE: usize = 3;
 
-fn class(effect: Effect, late_worth: f64) -> Class {
-    Class { aim_ms: 1000.0, late_worth, effect, group: KeyGroup::All, window_ms: 3000.0 }
+fn class(idempotency: Idempotency, late_value: f64) -> RequestClass {
+    RequestClass {
+        latency_objective_ms: 1000.0,
+        late_value,
+        idempotency,
+        dedup_scope: DedupScope::All,
+        dedup_window_ms: 3000.0,
+    }
 }
 
 fn plan(rate: f64, burst: f64, open: u32, ceiling: f64) -> Plan {
     Plan {
         rate,
         burst,
-        open,
+        max_in_flight: open,
         ceiling_rate: ceiling * rate,
         ceiling_burst: ceiling * burst,
         ceiling_slack: if ceiling > 0.0 { 3.0 } else { 0.0 },
@@ -36,7 +42,11 @@
         limiters: 3,
         position,
         zone: 0,
-        classes: vec![class(Effect::Safe, 0.0), class(Effect::Keyed, 0.0), class(Effect::Unsafe, 0.0)],
+        classes: vec![
+            class(Idempotency::Idempotent, 0.0),
+            class(Idempotency::WithKey, 0.0),
+            class(Idempotency::NonIdempotent, 0.0),
+        ],
         plans: vec![
             plan(6.0, 12.0, 0, 0.0),
             // A quota far above the ceiling, so that the ceiling alone is tested.
@@ -44,19 +54,18 @@
             plan(0.0, 0.0, 6, 0.0),
             plan(0.0, 0.0, 0, 0.0),
         ],
-        round_ms: 4.0,
+        event_interval_ms: 4.0,
         max_attempts: 3,
         connect_timeout_ms: 250.0,
-        may_probe: true,
-        may_tell: true,
-        may_cancel: true,
-        may_advise: false,
-        messages_per_s: 100.0,
+        can_gossip: true,
+        can_cancel: true,
+        can_send_retry_after: false,
+        gossip_messages_per_s: 100.0,
         must_subscribe: false,
-        cold_share: 0.2,
-        cold_ms: 10_000.0,
-        fall_multiple: 3.0,
-        fall_ms: 2000.0,
+        cold_capacity_fraction: 0.2,
+        slow_start_ms: 10_000.0,
+        overload_factor: 3.0,
+        overload_ms: 2000.0,
     }
 }
 
@@ -64,20 +73,29 @@
     Arc::from(format!("10.0.0.{n}:80"))
 }
 
-pub fn entry(n: u32) -> ServerEntry {
-    let condition = Condition::Serving;
-    ServerEntry { server: server(n), zone: 0, cell: 0, condition, weight: 1.0, started: 0.0 }
+pub fn entry(n: u32) -> Endpoint {
+    let state = EndpointState::Serving;
+    Endpoint { server: server(n), zone: 0, cell: 0, state, weight: 1.0, started_at: 0.0 }
 }
 
 pub fn request(id: RequestId, class: usize, plan: usize) -> Request {
-    Request { id, class, plan, customer: 7, budget_ms: 3000.0, units: 1.0, spread: 3, first: 0 }
+    Request {
+        id,
+        class,
+        plan,
+        customer: 7,
+        timeout_ms: 3000.0,
+        cost_units: 1.0,
+        member_count: 3,
+        first_member: 0,
+    }
 }
 
 /// A limiter with a clock that the test moves; wake-ups come when they are due.
 pub struct Rig {
     pub limiter: Limiter,
     pub now: Millis,
-    wakes: Vec<(Millis, u64)>,
+    wakes: Vec<(Millis, TimerToken)>,
 }
 
 impl Rig {
@@ -94,14 +112,20 @@
         let mut out = Vec::new();
         self.limiter.handle(self.now, event, &mut out);
         for a in &out {
-            if let Action::Wake { after_ms, token } = a {
+            if let Action::SetTimer { after_ms, token } = a {
                 self.wakes.push((self.now + after_ms, *token));
             }
         }
-        out.retain(|a| !matches!(a, Action::Wake { .. } | Action::Log(_)));
+        out.retain(|a| !matches!(a, Action::SetTimer { .. } | Action::LogEjection(_)));
         let cancels: Vec<_> = out
             .iter()
-            .filter_map(|a| if let Action::Cancel { id, attempt } = a { Some((*id, *attempt)) } else { None })
+            .filter_map(|a| {
+                if let Action::CancelAttempt { id, attempt } = a {
+                    Some((*id, *attempt))
+                } else {
+                    None
+                }
+            })
             .collect();
         for (id, attempt) in cancels {
             out.extend(self.ended(id, attempt, Outcome::Cancelled, 1000.0));
@@ -111,7 +135,7 @@
 
     /// Wake-ups that were asked for and still mean something.
     pub fn wanted(&self) -> usize {
-        self.wakes.iter().filter(|w| self.limiter.wants(w.1)).count()
+        self.wakes.iter().filter(|w| self.limiter.is_live(w.1)).count()
     }
 
     /// Lets time pass, with the wake-ups that fall into it.
@@ -125,8 +149,8 @@
                     let (at, token) = self.wakes.remove(i);
                     self.now = self.now.max(at);
                     // What the limiter says it does not want may be left out: it must do nothing.
-                    let wanted = self.limiter.wants(token);
-                    let did = self.give(Event::Wake { token });
+                    let wanted = self.limiter.is_live(token);
+                    let did = self.give(Event::TimerFired { token });
                     assert!(wanted || did.is_empty(), "an unwanted wake-up led to {did:?}");
                     out.extend(did);
                 }
@@ -137,31 +161,36 @@
         out
     }
 
-    pub fn list(&mut self, whole: bool, entries: Vec<ServerEntry>) -> Vec<Action> {
-        self.give(Event::Servers { whole, entries: entries.into() })
+    pub fn list(&mut self, whole: bool, entries: Vec<Endpoint>) -> Vec<Action> {
+        self.give(Event::EndpointsChanged { complete: whole, endpoints: entries.into() })
     }
 
     pub fn ask(&mut self, r: Request) -> Vec<Action> {
-        self.give(Event::Request(r))
+        self.give(Event::RequestArrived(r))
     }
 
-    pub fn ended(&mut self, id: RequestId, attempt: u32, outcome: Outcome, took_ms: Millis) -> Vec<Action> {
-        let settled = outcome == Outcome::Ok;
-        let load = Load::default();
-        self.give(Event::AttemptEnded { id, attempt, outcome, took_ms, settled, units: None, load })
+    pub fn ended(
+        &mut self,
+        id: RequestId,
+        attempt: u32,
+        outcome: Outcome,
+        elapsed_ms: Millis,
+    ) -> Vec<Action> {
+        let finished = outcome == Outcome::Ok;
+        self.give(Event::AttemptEnded { id, attempt, outcome, elapsed_ms, finished, actual_units: None })
     }
 }
 
 pub fn sent(actions: &[Action]) -> Vec<ServerId> {
     let server = |a: &Action| match a {
-        Action::Send { server, .. } => Some(server.clone()),
+        Action::Forward { server, .. } => Some(server.clone()),
         _ => None,
     };
     actions.iter().filter_map(server).collect()
 }
 
 pub fn refused(actions: &[Action]) -> bool {
-    actions.iter().any(|a| matches!(a, Action::Refuse { .. }))
+    actions.iter().any(|a| matches!(a, Action::Reject { .. }))
 }
 
 pub fn failed(actions: &[Action]) -> bool {
@@ -193,7 +222,7 @@
     fn post(&mut self, from: usize, actions: Vec<Action>) -> Vec<Action> {
         let mut rest = Vec::new();
         for a in actions {
-            let Action::Tell { to: Some(to), body } = a else {
+            let Action::SendGossip { to, body } = a else {
                 rest.push(a);
                 continue;
             };
@@ -230,7 +259,7 @@
                     .partition(|m| m.2 == p as u32 && m.0 <= self.now);
                 self.mail = later;
                 for (_, from, _, body) in due {
-                    actions.extend(self.rigs[p].give(Event::Heard { from, body }));
+                    actions.extend(self.rigs[p].give(Event::GossipReceived { from, body }));
                 }
                 out.extend(self.post(p, actions).into_iter().map(|a| (p, a)));
             }
--- a/limiter-core/tests/fleet.rs
+++ b/limiter-core/tests/fleet.rs
@@ -10,7 +10,7 @@
 const LIMITERS: u32 = 100;
 /// A customer of 80 limiters, at the plan of 6 units a second and 12 at once.
 fn wide(id: RequestId) -> Request {
-    Request { spread: 80, first: 35, ..request(id, SAFE, RATED) }
+    Request { member_count: 80, first_member: 35, ..request(id, SAFE, RATED) }
 }
 
 /// Guards against a gift for each member: what one limiter lets through without asking, eighty do.
@@ -38,7 +38,7 @@
 
 /// Any limiter, no quota.
 fn free(id: RequestId) -> Request {
-    Request { spread: LIMITERS, ..request(id, SAFE, FREE) }
+    Request { member_count: LIMITERS, ..request(id, SAFE, FREE) }
 }
 
 /// Six in ten servers are replaced: what the fleet may send a cold one is sent, whichever limiters meet it, and
@@ -48,8 +48,8 @@
     let mut fleet = Fleet::of(LIMITERS, 60, 3);
     fleet.play(400.0, 5.0, free);
     let now = fleet.net.now;
-    let draining = (24..60).map(|n| ServerEntry { condition: Condition::Draining, ..entry(n) });
-    let cold = (100..136).map(|n| ServerEntry { started: now, ..entry(n) });
+    let draining = (24..60).map(|n| Endpoint { state: EndpointState::Draining, ..entry(n) });
+    let cold = (100..136).map(|n| Endpoint { started_at: now, ..entry(n) });
     fleet.list(draining.chain(cold).collect());
     let per_warm = 400.0 / 24.0;
     fleet.play(400.0, 2.0, free);
@@ -71,7 +71,7 @@
 fn limiters_that_have_just_started_use_cold_servers() {
     let mut fleet = Fleet::of(LIMITERS, 24, 4);
     let started = fleet.net.now - 5000.0;
-    fleet.list((100..136).map(|n| ServerEntry { started, ..entry(n) }).collect());
+    fleet.list((100..136).map(|n| Endpoint { started_at: started, ..entry(n) }).collect());
     fleet.play(400.0, 1.0, free);
     let now = fleet.net.now;
     let all = fleet.play(400.0, 1.5, free) as usize;
@@ -82,7 +82,12 @@
 /// One of 6,000 customers, each far inside its quota, with requests at 160 of 200 limiters.
 fn calm(id: RequestId) -> Request {
     let customer = u64::from(id % AGAIN) % 6000;
-    Request { customer, spread: 160, first: (customer * 13 % 200) as u32, ..request(id, SAFE, RATED) }
+    Request {
+        customer,
+        member_count: 160,
+        first_member: (customer * 13 % 200) as u32,
+        ..request(id, SAFE, RATED)
+    }
 }
 
 /// For some seconds no message arrives, so that each request asks its owners again and again, more than the allowance
@@ -144,7 +149,12 @@
     } else {
         30 + slot % 70
     };
-    Request { customer, spread: 100, first: (customer * 37 % 300) as u32, ..request(id, SAFE, RATED) }
+    Request {
+        customer,
+        member_count: 100,
+        first_member: (customer * 37 % 300) as u32,
+        ..request(id, SAFE, RATED)
+    }
 }
 
 /// On a quiet day hundreds of limiters together keep the quotas, though messages get lost and limiters start again with
@@ -194,12 +204,12 @@
     let mut fleet =
         Fleet::with(limiters, 24, 9, |p| Settings { limiters, must_subscribe: true, ..settings(p) });
     fleet.net.loss = 0.05;
-    let any = |id: RequestId| Request { spread: limiters, ..request(id, SAFE, FREE) };
+    let any = |id: RequestId| Request { member_count: limiters, ..request(id, SAFE, FREE) };
     fleet.play(400.0, 1.0, any);
-    let leaving = |n: u32| ServerEntry { condition: Condition::Draining, ..entry(n) };
+    let leaving = |n: u32| Endpoint { state: EndpointState::Draining, ..entry(n) };
     for p in 0..limiters as usize {
-        let list = Event::Servers { whole: false, entries: (0..8).map(leaving).collect() };
-        let actions = fleet.net.give(p, if p % 3 == 0 { list } else { Event::ListFailed });
+        let list = Event::EndpointsChanged { complete: false, endpoints: (0..8).map(leaving).collect() };
+        let actions = fleet.net.give(p, if p % 3 == 0 { list } else { Event::WatchFailed });
         fleet.take(p, actions);
     }
     fleet.play(400.0, 0.2, any);
@@ -213,8 +223,10 @@
     fleet.play(400.0, 2.0, any);
     assert_eq!(fleet.sends_to(now, |n| n < 8), 0);
     for p in 0..limiters as usize {
-        let back = |n: u32| ServerEntry { started: if n < 4 { 0.0 } else { now }, ..entry(n) };
-        let actions = fleet.net.give(p, Event::Servers { whole: false, entries: (0..8).map(back).collect() });
+        let back = |n: u32| Endpoint { started_at: if n < 4 { 0.0 } else { now }, ..entry(n) };
+        let actions = fleet
+            .net
+            .give(p, Event::EndpointsChanged { complete: false, endpoints: (0..8).map(back).collect() });
         fleet.take(p, actions);
     }
     let now = fleet.net.now;
--- a/limiter-core/tests/properties.rs
+++ b/limiter-core/tests/properties.rs
@@ -68,7 +68,7 @@
         return Ok(());
     }
     let (level, at) = ceilings.entry(r.customer).or_insert((plan.ceiling_burst, now));
-    *level = (*level + plan.ceiling_rate * (now - *at) / 1000.0).min(plan.ceiling_burst) - r.units;
+    *level = (*level + plan.ceiling_rate * (now - *at) / 1000.0).min(plan.ceiling_burst) - r.cost_units;
     *at = now;
     prop_assert!(*level >= -plan.ceiling_slack - 1e-6, "ceiling passed: {level}");
     Ok(())
@@ -84,7 +84,7 @@
     ) -> Result<(), TestCaseError> {
         for a in actions {
             match a {
-                Action::Send { id, server, .. } => {
+                Action::Forward { id, server, .. } => {
                     let (r, _) = self.open.get(id).cloned().ok_or_else(|| {
                         TestCaseError::fail(format!("send for a request that has ended: {id}"))
                     })?;
@@ -98,9 +98,9 @@
                     }
                     if let Some(ran) = self.may_have_run.get(id) {
                         let class = &s.classes[r.class];
-                        prop_assert!(class.effect != Effect::Unsafe, "unsafe sent again");
+                        prop_assert!(class.idempotency != Idempotency::NonIdempotent, "unsafe sent again");
                         prop_assert!(
-                            class.effect != Effect::Keyed || now - ran <= class.window_ms,
+                            class.idempotency != Idempotency::WithKey || now - ran <= class.dedup_window_ms,
                             "keyed sent after its window"
                         );
                     }
@@ -109,22 +109,24 @@
                     self.out.insert(*id);
                     *n += 1;
                 }
-                Action::Refuse { id, .. } | Action::Fail { id } => {
+                Action::Reject { id, .. } | Action::Fail { id } => {
                     let (r, _) = self
                         .open
                         .remove(id)
                         .ok_or_else(|| TestCaseError::fail(format!("second final answer for {id}")))?;
-                    if matches!(a, Action::Refuse { .. }) && s.classes[r.class].effect == Effect::Unsafe {
+                    if matches!(a, Action::Reject { .. })
+                        && s.classes[r.class].idempotency == Idempotency::NonIdempotent
+                    {
                         let ran = self.may_have_run.contains_key(id) || self.out.contains(id);
                         prop_assert!(!ran, "unsafe refused though it may have run");
                     }
                 }
-                Action::Cancel { id, attempt } => {
+                Action::CancelAttempt { id, attempt } => {
                     prop_assert!(self.attempts.remove(&(*id, *attempt)).is_some(), "cancel of nothing");
                     self.out.remove(id);
                     self.may_have_run.entry(*id).or_insert(self.sent_at[id]);
                 }
-                Action::Tell { body, .. } => prop_assert!(body.len() <= 256),
+                Action::SendGossip { body, .. } => prop_assert!(body.len() <= 256),
                 _ => {}
             }
         }
@@ -138,16 +140,16 @@
 const OUTCOMES: [Outcome; 7] = [
     Outcome::Ok,
     Outcome::Error,
-    Outcome::Full,
+    Outcome::Rejected,
     Outcome::TimedOut,
-    Outcome::NoConnection,
-    Outcome::Severed,
+    Outcome::ConnectFailed,
+    Outcome::ConnectionLost,
     Outcome::Cancelled,
 ];
 
 fn run(steps: Vec<Step>) -> Result<(), TestCaseError> {
     let mut s = settings(0);
-    s.classes[KEYED].window_ms = 700.0;
+    s.classes[KEYED].dedup_window_ms = 700.0;
     // A ceiling small enough to be met often.
     let tight = Plan { ceiling_rate: 3.0, ceiling_burst: 6.0, ceiling_slack: 1.0, ..s.plans[CEILED].clone() };
     s.plans[CEILED] = tight;
@@ -169,10 +171,19 @@
         match step {
             Step::Ask { limiter, class, plan, customer, units, budget } => {
                 next += 1;
-                let (budget_ms, units) = (f64::from(budget), f64::from(units));
-                let r = Request { id: next, class, plan, customer, budget_ms, units, spread: 3, first: 1 };
+                let (timeout_ms, units) = (f64::from(budget), f64::from(units));
+                let r = Request {
+                    id: next,
+                    class,
+                    plan,
+                    customer,
+                    timeout_ms,
+                    cost_units: units,
+                    member_count: 3,
+                    first_member: 1,
+                };
                 let (rig, watch) = &mut all[limiter];
-                watch.open.insert(next, (r.clone(), now + budget_ms));
+                watch.open.insert(next, (r.clone(), now + timeout_ms));
                 let actions = rig.ask(r);
                 watch.check(&s, now, &actions, &mut ceilings)?;
             }
@@ -186,7 +197,7 @@
                 watch.attempts.remove(&(id, n));
                 watch.out.remove(&id);
                 let outcome = OUTCOMES[usize::from(outcome)];
-                if !matches!(outcome, Outcome::Full | Outcome::NoConnection) {
+                if !matches!(outcome, Outcome::Rejected | Outcome::ConnectFailed) {
                     let sent = watch.sent_at[&id];
                     watch.may_have_run.entry(id).or_insert(sent);
                 }
@@ -204,7 +215,7 @@
                         let actions = rig.pass(4.0);
                         watch.check(&s, now, &actions, &mut ceilings)?;
                         told.extend(actions.into_iter().filter_map(|a| match a {
-                            Action::Tell { to: Some(to), body } => Some((p, to, body)),
+                            Action::SendGossip { to, body } => Some((p, to, body)),
                             _ => None,
                         }));
                     }
@@ -212,16 +223,19 @@
             }
             Step::Server { limiter, n, change } => {
                 let (rig, watch) = &mut all[limiter];
-                let condition =
-                    [Condition::Serving, Condition::Draining, Condition::Gone, Condition::Serving]
-                        [usize::from(change)];
-                if condition == Condition::Serving {
+                let state = [
+                    EndpointState::Serving,
+                    EndpointState::Draining,
+                    EndpointState::Removed,
+                    EndpointState::Serving,
+                ][usize::from(change)];
+                if state == EndpointState::Serving {
                     watch.banned.remove(&server(n));
                 } else {
                     watch.banned.insert(server(n));
                 }
                 let started = if change == 3 { now } else { 0.0 };
-                let actions = rig.list(false, vec![ServerEntry { condition, started, ..entry(n) }]);
+                let actions = rig.list(false, vec![Endpoint { state, started_at: started, ..entry(n) }]);
                 watch.check(&s, now, &actions, &mut ceilings)?;
             }
             Step::Restart(p) => all[p] = fresh(p, now),
@@ -231,19 +245,19 @@
                     let at = usize::from(pick) % watch.open.len();
                     let id = *watch.open.keys().nth(at).expect("in range");
                     watch.open.remove(&id);
-                    let actions = rig.give(Event::ClientGone { id });
+                    let actions = rig.give(Event::ClientDisconnected { id });
                     watch.check(&s, now, &actions, &mut ceilings)?;
                 }
             }
             Step::Noise { limiter, from, body } => {
                 let (rig, watch) = &mut all[limiter];
-                let actions = rig.give(Event::Heard { from, body });
+                let actions = rig.give(Event::GossipReceived { from, body });
                 watch.check(&s, now, &actions, &mut ceilings)?;
             }
         }
         for (from, to, body) in told {
             let (rig, watch) = &mut all[to as usize];
-            let actions = rig.give(Event::Heard { from: from as u32, body });
+            let actions = rig.give(Event::GossipReceived { from: from as u32, body });
             watch.check(&s, now, &actions, &mut ceilings)?;
         }
     }
@@ -308,27 +322,27 @@
             _ if net.now >= net.stalled[p] => {
                 let customer = rng.u64(0..3);
                 let units = 1.0 + f64::from(rng.u32(0..3));
-                let r = Request { customer, units, spread: N, ..request(id, UNSAFE, CEILED) };
+                let r =
+                    Request { customer, cost_units: units, member_count: N, ..request(id, UNSAFE, CEILED) };
                 asked.insert((p, id), r.clone());
-                out.extend(net.give(p, Event::Request(r)).into_iter().map(|a| (p, a)));
+                out.extend(net.give(p, Event::RequestArrived(r)).into_iter().map(|a| (p, a)));
             }
             _ => {}
         }
         out.extend(net.pass(if id % 500 < 300 { 4.0 } else { 20.0 }));
         for (p, a) in out {
-            let Action::Send { id, .. } = a else { continue };
+            let Action::Forward { id, .. } = a else { continue };
             let r = &asked[&(p, id)];
             let store = &mut stores[r.customer as usize];
             store.0 = (store.0 + plan.ceiling_rate * (net.now - store.1) / 1000.0).min(plan.ceiling_burst)
-                - r.units;
+                - r.cost_units;
             store.1 = net.now;
             lowest = lowest.min(store.0);
-            let_in += r.units;
-            let load = Load::default();
-            let (attempt, outcome, took_ms) = (0, Outcome::Ok, 5.0);
+            let_in += r.cost_units;
+            let (attempt, outcome, elapsed_ms) = (0, Outcome::Ok, 5.0);
             net.give(
                 p,
-                Event::AttemptEnded { id, attempt, outcome, took_ms, settled: true, units: None, load },
+                Event::AttemptEnded { id, attempt, outcome, elapsed_ms, finished: true, actual_units: None },
             );
         }
     }
@@ -360,24 +374,24 @@
         if id == 1500 {
             let started = net.now;
             for p in 0..N as usize {
-                let entries = vec![ServerEntry { started, ..entry(3) }];
-                net.give(p, Event::Servers { whole: false, entries: entries.into() });
+                let entries = vec![Endpoint { started_at: started, ..entry(3) }];
+                net.give(p, Event::EndpointsChanged { complete: false, endpoints: entries.into() });
             }
         }
         let p = rng.usize(0..N as usize);
-        let out = net.give(p, Event::Request(Request { customer: u64::from(id), ..request(id, SAFE, FREE) }));
+        let out = net
+            .give(p, Event::RequestArrived(Request { customer: u64::from(id), ..request(id, SAFE, FREE) }));
         for a in out {
-            let Action::Send { server: to, .. } = a else { continue };
+            let Action::Forward { server: to, .. } = a else { continue };
             total += u32::from(id >= 1500);
             warm += u32::from(id >= 1500 && to == server(2));
             if to == server(3) && id >= 1500 {
                 recent.push_back(net.now);
             }
-            let load = Load::default();
-            let (attempt, outcome, took_ms) = (0, Outcome::Ok, 20.0);
+            let (attempt, outcome, elapsed_ms) = (0, Outcome::Ok, 20.0);
             net.give(
                 p,
-                Event::AttemptEnded { id, attempt, outcome, took_ms, settled: true, units: None, load },
+                Event::AttemptEnded { id, attempt, outcome, elapsed_ms, finished: true, actual_units: None },
             );
         }
         while recent.front().is_some_and(|t| net.now - t > 400.0) {
--- a/limiter-core/tests/quota.rs
+++ b/limiter-core/tests/quota.rs
@@ -13,7 +13,7 @@
     for id in 0..seconds * per_s {
         let p = (id * 7 % n) as usize;
         let mut all: Vec<_> = net
-            .give(p, Event::Request(Request { spread: n, ..request(id, SAFE, plan) }))
+            .give(p, Event::RequestArrived(Request { member_count: n, ..request(id, SAFE, plan) }))
             .into_iter()
             .map(|a| (p, a))
             .collect();
@@ -27,9 +27,8 @@
 fn finish(net: &mut Net, all: &[(usize, Action)]) -> f64 {
     let mut units = 0.0;
     for (p, a) in all {
-        if let Action::Send { id, .. } = a {
+        if let Action::Forward { id, .. } = a {
             units += 1.0;
-            let load = Load::default();
             let (attempt, outcome) = (0, Outcome::Ok);
             net.give(
                 *p,
@@ -37,10 +36,9 @@
                     id: *id,
                     attempt,
                     outcome,
-                    took_ms: 5.0,
-                    settled: true,
-                    units: None,
-                    load,
+                    elapsed_ms: 5.0,
+                    finished: true,
+                    actual_units: None,
                 },
             );
         }
@@ -57,7 +55,7 @@
     }
 }
 
-/// Later sites: an even part of a quota spread over hundreds of limiters is less than one request.
+/// Later sites: an even part of a quota member_count over hundreds of limiters is less than one request.
 #[test]
 fn demand_within_the_quota_is_let_in_at_any_spread() {
     for n in [3, 40, 200] {
@@ -95,7 +93,7 @@
 fn a_flood_beyond_a_cap_on_attempts_out_is_refused_by_chance_too() {
     let mut net = Net::new((0..3).map(settings).collect(), 3, 5);
     for id in 0..2000u32 {
-        net.give((id % 3) as usize, Event::Request(request(id, UNSAFE, OPEN)));
+        net.give((id % 3) as usize, Event::RequestArrived(request(id, UNSAFE, OPEN)));
         net.pass(5.0);
     }
     assert!(net.told < 1600, "{} messages for 2000 requests", net.told);
@@ -108,15 +106,15 @@
     let mut out = Vec::new();
     for id in 0..30 {
         let p = (id % 3) as usize;
-        out.extend(net.give(p, Event::Request(request(id, UNSAFE, OPEN))).into_iter().map(|a| (p, a)));
+        out.extend(net.give(p, Event::RequestArrived(request(id, UNSAFE, OPEN))).into_iter().map(|a| (p, a)));
     }
     out.extend(net.pass(200.0));
-    let sent = |out: &[(usize, Action)]| out.iter().filter(|a| matches!(a.1, Action::Send { .. })).count();
+    let sent = |out: &[(usize, Action)]| out.iter().filter(|a| matches!(a.1, Action::Forward { .. })).count();
     assert_eq!(sent(&out), 6);
     finish(&mut net, &out);
     // Until then members still refuse by the demand told.
     net.pass(4100.0);
-    let again = net.give(0, Event::Request(request(50, UNSAFE, OPEN)));
+    let again = net.give(0, Event::RequestArrived(request(50, UNSAFE, OPEN)));
     let again: Vec<_> = again.into_iter().map(|a| (0, a)).chain(net.pass(200.0)).collect();
     assert_eq!(sent(&again), 1, "those that ended are free again");
 }
@@ -126,16 +124,14 @@
     let ask = |actual: Option<f64>| {
         let mut rig = Rig::new(Settings { limiters: 1, ..settings(0) }, 3);
         rig.ask(request(1, SAFE, RATED));
-        let load = Load::default();
         let (attempt, outcome) = (0, Outcome::Ok);
         rig.give(Event::AttemptEnded {
             id: 1,
             attempt,
             outcome,
-            took_ms: 5.0,
-            settled: true,
-            units: actual,
-            load,
+            elapsed_ms: 5.0,
+            finished: true,
+            actual_units: actual,
         });
         (2..30).filter(|id| !sent(&rig.ask(request(*id, SAFE, RATED))).is_empty()).count()
     };
@@ -148,7 +144,7 @@
         .find(|p| {
             let mut rig = Rig::new(Settings { limiters: 12, ..settings(*p) }, 3);
             // Under a cap on attempts out the owners are always asked.
-            let out = rig.ask(Request { spread: 12, ..request(1, SAFE, OPEN) });
+            let out = rig.ask(Request { member_count: 12, ..request(1, SAFE, OPEN) });
             let then = rig.pass(30.0);
             sent(&out).is_empty() && sent(&then).is_empty() && !refused(&out)
         })
@@ -156,7 +152,7 @@
     let mut rig = Rig::new(Settings { limiters: 12, ..settings(position) }, 3);
     let mut units = 0;
     for id in 0..requests {
-        units += sent(&rig.ask(Request { spread: 12, ..request(id, SAFE, plan) })).len();
+        units += sent(&rig.ask(Request { member_count: 12, ..request(id, SAFE, plan) })).len();
         units += sent(&rig.pass(500.0)).len();
         rig.ended(id, 0, Outcome::Ok, 5.0);
     }
@@ -182,7 +178,7 @@
     let ask_of = |p: u32| {
         let mut rig = Rig::new(settings(p), 3);
         rig.ask(request(1, SAFE, RATED)).into_iter().find_map(|a| match a {
-            Action::Tell { to, body } => Some((to.expect("one owner"), body)),
+            Action::SendGossip { to, body } => Some((to, body)),
             _ => None,
         })
     };
@@ -191,7 +187,7 @@
         let mut owner = Rig::new(settings(to), 3);
         owner.pass(1000.0);
         owner.now += pause;
-        owner.give(Event::Heard { from, body: body.clone() }).len()
+        owner.give(Event::GossipReceived { from, body: body.clone() }).len()
     };
     assert_eq!(answers(50.0), 1);
     assert_eq!(answers(2000.0), 0);
@@ -207,7 +203,7 @@
     };
     let first = (0..3).find(|p| {
         let told = Rig::new(settings(*p), 3).ask(request(1, UNSAFE, RATED));
-        !told.iter().any(|a| matches!(a, Action::Tell { .. }))
+        !told.iter().any(|a| matches!(a, Action::SendGossip { .. }))
     });
     let owner = first.expect("one of three is the first owner");
     let member = (owner + 1) % 3;
@@ -217,7 +213,7 @@
     let mut own = std::collections::BTreeSet::new();
     let mut note = |actions: Vec<Action>| {
         for a in actions {
-            let Action::Tell { body, .. } = a else { continue };
+            let Action::SendGossip { body, .. } = a else { continue };
             // A word takes 26 bytes; its first tells whether it grants, then comes the request.
             for line in body[8..].chunks(26).filter(|l| l[0] == 2) {
                 ids.insert(line[1..5].to_vec());
@@ -232,15 +228,15 @@
         told.extend(asking.pass(2.0));
         let mut words = keeping.pass(2.0);
         for a in told {
-            if let Action::Tell { to: Some(to), body } = a {
+            if let Action::SendGossip { to, body } = a {
                 if to == owner {
-                    words.extend(keeping.give(Event::Heard { from: member, body }));
+                    words.extend(keeping.give(Event::GossipReceived { from: member, body }));
                 }
             }
         }
         for a in &words {
-            if let Action::Tell { body, .. } = a {
-                asking.give(Event::Heard { from: owner, body: body.clone() });
+            if let Action::SendGossip { body, .. } = a {
+                asking.give(Event::GossipReceived { from: owner, body: body.clone() });
             }
         }
         note(words);
@@ -272,7 +268,7 @@
         .enumerate()
         .find_map(|(p, mut rig)| {
             let told = rig.ask(request(1, SAFE, CEILED)).into_iter().find_map(|a| match a {
-                Action::Tell { to, body } => Some((to.expect("one owner"), body)),
+                Action::SendGossip { to, body } => Some((to, body)),
                 _ => None,
             });
             Some((p as u32, told?))
@@ -280,7 +276,7 @@
         .expect("one of three is not the owner");
     let heard = |from: u32, body: Vec<u8>| {
         let mut rig = Rig::new(settings(to), 3);
-        rig.give(Event::Heard { from, body })
+        rig.give(Event::GossipReceived { from, body })
     };
     assert_eq!(heard(from, good.clone()).len(), 1, "the ask itself is answered");
     for cut in 0..good.len() {
@@ -306,12 +302,13 @@
     let other = (owner + 1) % 3;
     let told = Rig::new(settings(other), 3).ask(request(1, SAFE, RATED));
     let body =
-        told.into_iter().find_map(|a| if let Action::Tell { body, .. } = a { Some(body) } else { None });
+        told.into_iter()
+            .find_map(|a| if let Action::SendGossip { body, .. } = a { Some(body) } else { None });
     let body = body.expect("an ask");
     let left = |times: usize| {
         let mut rig = Rig::new(settings(owner), 3);
         for _ in 0..times {
-            rig.give(Event::Heard { from: other, body: body.clone() });
+            rig.give(Event::GossipReceived { from: other, body: body.clone() });
             rig.pass(20.0);
         }
         (2..40).filter(|id| !sent(&rig.ask(request(*id, SAFE, RATED))).is_empty()).count()
@@ -321,16 +318,16 @@
 
 #[test]
 fn sets_of_any_shape_are_served() {
-    for (spread, first) in [(0, 0), (1, 2), (2, 2), (3, 7), (100, 1), (u32::MAX, u32::MAX)] {
+    for (member_count, first) in [(0, 0), (1, 2), (2, 2), (3, 7), (100, 1), (u32::MAX, u32::MAX)] {
         let mut net = Net::new((0..3).map(settings).collect(), 3, 1);
         net.pass(2000.0);
         for p in 0..3 {
-            let r = Request { spread, first, ..request(p, UNSAFE, CEILED) };
+            let r = Request { member_count, first_member: first, ..request(p, UNSAFE, CEILED) };
             let mut out: Vec<_> =
-                net.give(p as usize, Event::Request(r)).into_iter().map(|a| (0, a)).collect();
+                net.give(p as usize, Event::RequestArrived(r)).into_iter().map(|a| (0, a)).collect();
             out.extend(net.pass(200.0));
-            let sends = out.iter().filter(|a| matches!(a.1, Action::Send { .. })).count();
-            assert_eq!(sends, 1, "limiter {p}, spread {spread} from {first}");
+            let sends = out.iter().filter(|a| matches!(a.1, Action::Forward { .. })).count();
+            assert_eq!(sends, 1, "limiter {p}, member_count {member_count} from {first}");
         }
     }
 }
@@ -339,13 +336,21 @@
 fn events_of_unknown_things_change_nothing() {
     let mut rig = Rig::new(settings(0), 3);
     assert!(rig.ended(5, 0, Outcome::Ok, 1.0).is_empty());
-    assert!(rig.give(Event::ClientGone { id: 5 }).is_empty());
-    assert!(rig.give(Event::Streaming { id: 5 }).is_empty());
-    assert!(rig.give(Event::Wake { token: u64::MAX >> 1 }).is_empty());
-    let counted = Event::Counted { name: 1, outcome: Outcome::Ok, total: 3.0 };
-    assert!(rig.give(counted).is_empty());
-    let probed = Event::Probed { server: server(77), outcome: Outcome::Ok, load: Load::default() };
-    assert!(rig.give(probed).is_empty());
+    assert!(rig.give(Event::ClientDisconnected { id: 5 }).is_empty());
+    assert!(rig.give(Event::ResponseStarted { id: 5 }).is_empty());
+    let of_unknown = [
+        TimerToken::Deadline(5),
+        TimerToken::LatencyObjective(5),
+        TimerToken::SilenceCheck(5),
+        TimerToken::GrantReply(5),
+    ];
+    for token in of_unknown {
+        assert!(rig.give(Event::TimerFired { token }).is_empty(), "{token:?}");
+        assert_eq!(TimerToken::decode(token.encode()), Some(token));
+    }
+    for no_token in [6, 7, 8, 13, u64::MAX >> 1, u64::MAX] {
+        assert_eq!(TimerToken::decode(no_token), None);
+    }
     rig.ask(request(1, SAFE, FREE));
     assert!(rig.ask(request(1, SAFE, FREE)).is_empty(), "an id is never sent twice by mistake");
 }
@@ -356,15 +361,15 @@
         let mut s = settings(0);
         change(&mut s);
         let error = Limiter::new(s, 1, 0.0).expect_err("must be refused");
-        assert!(error.contains(word), "{error}");
+        assert!(error.to_string().contains(word), "{error}");
     };
     broken(|s| s.limiters = 0, "limiters");
     broken(|s| s.limiters = 70_000, "limiters");
     broken(|s| s.position = 3, "position 3");
     broken(|s| s.max_attempts = 0, "max_attempts");
-    broken(|s| s.classes[1].aim_ms = 0.0, "class 1");
+    broken(|s| s.classes[1].latency_objective_ms = 0.0, "class 1");
     broken(|s| s.plans[0].rate = f64::NAN, "plan 0");
-    broken(|s| s.cold_share = 1.5, "cold_share");
+    broken(|s| s.cold_capacity_fraction = 1.5, "cold_capacity_fraction");
 }
 
 /// The usual wait may grow while an ask is out. Guards against a lost word that is then never missed, so that its
@@ -375,14 +380,16 @@
         Net::new((0..2).map(|position| Settings { limiters: 2, ..settings(position) }).collect(), 3, 5);
     net.pass(500.0);
     net.delay_ms = (42.0, 43.0);
-    let ask = |id, customer| Event::Request(Request { spread: 2, customer, ..request(id, SAFE, OPEN) });
+    let ask = |id, customer| {
+        Event::RequestArrived(Request { member_count: 2, customer, ..request(id, SAFE, OPEN) })
+    };
     let theirs =
         (0..32).find(|c| net.give(0, ask(*c as u32, *c)).is_empty()).expect("a customer kept by the peer");
     net.loss = 1.0;
     net.give(0, ask(100, theirs));
     net.loss = 0.0;
     let sent = |all: Vec<(usize, Action)>, of| {
-        all.iter().any(|a| matches!(a.1, Action::Send { id, .. } if id == of))
+        all.iter().any(|a| matches!(a.1, Action::Forward { id, .. } if id == of))
     };
     assert!(sent(net.pass(104.0), theirs as u32), "a slow word");
     assert!(sent(net.pass(150.0), 100), "the lost one is asked for again");
@@ -398,7 +405,7 @@
         // A ceiling starts as if spent.
         net.pass(8000.0);
         for id in 0..3 {
-            let given = net.give(id as usize, Event::Request(request(id, SAFE, plan)));
+            let given = net.give(id as usize, Event::RequestArrived(request(id, SAFE, plan)));
             assert_eq!(sent(&given).len(), 1, "plan {plan} at limiter {id}");
             net.pass(100.0);
         }
@@ -416,17 +423,17 @@
     let mut net = Net::new(all, 3, 5);
     // 60 units and a slack of 3 at 12 a second would take 5.75 s.
     net.pass(4900.0);
-    assert!(!net.rigs[0].limiter.settled(net.now));
+    assert!(!net.rigs[0].limiter.is_ready(net.now));
     net.pass(200.0);
-    assert!(net.rigs.iter().all(|rig| rig.limiter.settled(net.now)));
+    assert!(net.rigs.iter().all(|rig| rig.limiter.is_ready(net.now)));
     net.pass(3000.0);
     net.restart(1, settings(1), 3, 6);
-    assert!(!net.rigs[1].limiter.settled(net.now), "no word from anyone yet");
+    assert!(!net.rigs[1].limiter.is_ready(net.now), "no word from anyone yet");
     for id in 0..20 {
-        net.give(0, Event::Request(Request { customer: id, ..request(id as u32, SAFE, RATED) }));
+        net.give(0, Event::RequestArrived(Request { customer: id, ..request(id as u32, SAFE, RATED) }));
     }
     net.pass(100.0);
-    assert!(net.rigs[1].limiter.settled(net.now), "others serve");
+    assert!(net.rigs[1].limiter.is_ready(net.now), "others serve");
 }
 
 /// A customer that changes its plan, or whose id is given to another on another plan, has that plan's quota of its own:
@@ -434,7 +441,7 @@
 #[test]
 fn a_customer_on_another_plan_has_another_quota() {
     let mut rig = Rig::new(Settings { limiters: 1, ..settings(0) }, 3);
-    let of = |id, plan| Request { spread: 1, ..request(id, SAFE, plan) };
+    let of = |id, plan| Request { member_count: 1, ..request(id, SAFE, plan) };
     let sent_on = |rig: &mut Rig, plan: usize, from: u32| {
         (from..from + 40).filter(|id| !sent(&rig.ask(of(*id, plan))).is_empty()).count()
     };
@@ -454,37 +461,37 @@
 fn a_flood_of_new_customers_keeps_little_and_gives_no_quota_away() {
     let mut limiter = Limiter::new(Settings { limiters: 1, ..settings(0) }, 1, 0.0).expect("legal settings");
     let (mut out, mut next, mut now, mut greedy) = (Vec::new(), 0, 0.0, 0);
-    let list = Event::Servers { whole: true, entries: (0..3).map(entry).collect() };
+    let list = Event::EndpointsChanged { complete: true, endpoints: (0..3).map(entry).collect() };
     limiter.handle(now, list, &mut out);
-    let mut most = limiter.kept();
+    let mut most = limiter.cache_sizes();
     let seconds = 60;
     for step in 0..10 * seconds {
         // 1,000 a second, and 20 of one customer that may have 6 and 12 at once.
         for n in 0..102 {
             next += 1;
             let customer = if n < 2 { 1 } else { 1000 + u64::from(next) };
-            let r = Request { spread: 1, customer, ..request(next, SAFE, RATED) };
+            let r = Request { member_count: 1, customer, ..request(next, SAFE, RATED) };
             out.clear();
-            limiter.handle(now, Event::Request(r), &mut out);
+            limiter.handle(now, Event::RequestArrived(r), &mut out);
             if !sent(&out).is_empty() {
                 greedy += u32::from(n < 2);
-                let (outcome, load) = (Outcome::Ok, Load::default());
-                let (settled, units, took_ms) = (true, None, 50.0);
+                let outcome = Outcome::Ok;
+                let (finished, actual_units, elapsed_ms) = (true, None, 50.0);
                 let end =
-                    Event::AttemptEnded { id: next, attempt: 0, outcome, took_ms, settled, units, load };
+                    Event::AttemptEnded { id: next, attempt: 0, outcome, elapsed_ms, finished, actual_units };
                 limiter.handle(now, end, &mut out);
             }
         }
         now += 100.0;
-        limiter.handle(now, Event::Wake { token: 0 }, &mut out);
-        let kept = limiter.kept();
-        most.customers = most.customers.max(kept.customers);
-        most.accounts = most.accounts.max(kept.accounts);
+        limiter.handle(now, Event::TimerFired { token: TimerToken::ControlStep }, &mut out);
+        let kept = limiter.cache_sizes();
+        most.member_quotas = most.member_quotas.max(kept.member_quotas);
+        most.owner_quotas = most.owner_quotas.max(kept.owner_quotas);
         most.grants = most.grants.max(kept.grants);
         assert_eq!(kept.requests, 0, "at step {step}");
     }
     // Beyond 10,000 the time for which they are kept falls as their number grows.
-    assert!(most.customers <= 26_000 && most.accounts <= 26_000, "{most:?}");
+    assert!(most.member_quotas <= 26_000 && most.owner_quotas <= 26_000, "{most:?}");
     assert!(most.grants <= 10 * 1020, "{most:?}");
     assert!(greedy <= 12 + 6 * seconds, "{greedy} units of one customer");
 }
--- a/limiter-core/tests/rules.rs
+++ b/limiter-core/tests/rules.rs
@@ -14,18 +14,18 @@
 #[test]
 fn an_attempt_out_at_the_deadline_ends_in_one_answer_in_time() {
     let mut s = settings(0);
-    s.classes[UNSAFE].late_worth = 0.2;
+    s.classes[UNSAFE].late_value = 0.2;
     let mut rig = Rig::new(s, 3);
     assert_eq!(sent(&rig.ask(request(1, UNSAFE, FREE))).len(), 1);
     assert!(!failed(&rig.pass(2900.0)), "a late answer still earns something");
     let end = rig.pass(98.0);
     assert!(failed(&end) && !refused(&end), "it may have run: no promise");
-    assert!(rig.pass(5000.0).iter().all(|a| matches!(a, Action::Tell { .. })), "nothing after the end");
+    assert!(rig.pass(5000.0).iter().all(|a| matches!(a, Action::SendGossip { .. })), "nothing after the end");
 }
 
 #[test]
 fn an_unsafe_request_that_may_have_run_is_not_sent_again() {
-    for outcome in [Outcome::Error, Outcome::TimedOut, Outcome::Severed, Outcome::Cancelled] {
+    for outcome in [Outcome::Error, Outcome::TimedOut, Outcome::ConnectionLost, Outcome::Cancelled] {
         let mut rig = Rig::new(settings(0), 3);
         rig.ask(request(1, UNSAFE, FREE));
         let after = rig.ended(1, 0, outcome, 5.0);
@@ -35,7 +35,7 @@
 
 #[test]
 fn an_unsafe_request_proved_never_to_have_run_goes_elsewhere() {
-    for outcome in [Outcome::Full, Outcome::NoConnection] {
+    for outcome in [Outcome::Rejected, Outcome::ConnectFailed] {
         let mut rig = Rig::new(settings(0), 3);
         let first = sent(&rig.ask(request(1, UNSAFE, FREE)));
         let second = sent(&rig.ended(1, 0, outcome, 5.0));
@@ -47,7 +47,7 @@
 #[test]
 fn a_keyed_request_is_not_repeated_after_its_window() {
     let mut s = settings(0);
-    s.classes[KEYED].window_ms = 300.0;
+    s.classes[KEYED].dedup_window_ms = 300.0;
     let mut rig = Rig::new(s.clone(), 3);
     rig.ask(request(1, KEYED, FREE));
     rig.pass(200.0);
@@ -62,9 +62,9 @@
 #[test]
 fn a_keyed_request_that_may_have_run_stays_in_its_zone() {
     let mut s = settings(0);
-    s.classes[KEYED].group = KeyGroup::Zone;
+    s.classes[KEYED].dedup_scope = DedupScope::Zone;
     let mut rig = Rig::new(s, 0);
-    let other = ServerEntry { zone: 1, ..entry(2) };
+    let other = Endpoint { zone: 1, ..entry(2) };
     rig.list(true, vec![entry(1), other]);
     let first = sent(&rig.ask(request(1, KEYED, FREE)));
     let again = sent(&rig.ended(1, 0, Outcome::Error, 5.0));
@@ -82,9 +82,9 @@
 
 #[test]
 fn nothing_new_goes_to_a_draining_or_gone_server() {
-    for condition in [Condition::Draining, Condition::Gone] {
+    for state in [EndpointState::Draining, EndpointState::Removed] {
         let mut rig = Rig::new(settings(0), 2);
-        rig.list(false, vec![ServerEntry { condition, ..entry(0) }]);
+        rig.list(false, vec![Endpoint { state, ..entry(0) }]);
         for id in 0..50 {
             assert!(sent(&rig.ask(request(id, SAFE, FREE))).iter().all(|s| *s == server(1)));
         }
@@ -103,7 +103,7 @@
 #[test]
 fn a_cold_server_gets_its_part_only() {
     let mut rig = Rig::new(settings(0), 3);
-    rig.list(false, vec![ServerEntry { started: rig.now, ..entry(9) }]);
+    rig.list(false, vec![Endpoint { started_at: rig.now, ..entry(9) }]);
     let mut cold = 0;
     for id in 0..200 {
         let to = sent(&rig.ask(request(id, SAFE, FREE)));
@@ -121,7 +121,7 @@
     rig.pass(60_000.0);
     let mut units = 0.0;
     for id in 0..500 {
-        let r = Request { units: 2.0, ..request(id, SAFE, CEILED) };
+        let r = Request { cost_units: 2.0, ..request(id, SAFE, CEILED) };
         units += 2.0 * sent(&rig.ask(r)).len() as f64;
         rig.ended(id, 0, Outcome::Ok, 5.0);
     }
@@ -147,7 +147,7 @@
 #[test]
 fn a_held_repeat_of_a_keyed_request_ends_when_its_window_is_over() {
     let mut s = settings(0);
-    s.classes[KEYED].window_ms = 200.0;
+    s.classes[KEYED].dedup_window_ms = 200.0;
     let mut rig = Rig::new(s, 1);
     rig.ask(request(1, KEYED, FREE));
     rig.list(true, vec![]);
@@ -180,11 +180,17 @@
 /// A refusal comes at once and says when to come back, where clients are given advice.
 #[test]
 fn a_refusal_tells_when_to_come_back() {
-    let advice = |may_advise: bool, plan: usize| {
-        let mut rig = Rig::new(Settings { may_advise, limiters: 1, ..settings(0) }, 0);
-        let mut all = rig.ask(Request { units: 2.0, spread: 1, ..request(1, SAFE, plan) });
+    let advice = |can_send_retry_after: bool, plan: usize| {
+        let mut rig = Rig::new(Settings { can_send_retry_after, limiters: 1, ..settings(0) }, 0);
+        let mut all = rig.ask(Request { cost_units: 2.0, member_count: 1, ..request(1, SAFE, plan) });
         all.extend(rig.pass(3000.0));
-        all.iter().find_map(|a| if let Action::Refuse { retry_ms, .. } = a { Some(*retry_ms) } else { None })
+        all.iter().find_map(|a| {
+            if let Action::Reject { retry_after_ms, .. } = a {
+                Some(*retry_after_ms)
+            } else {
+                None
+            }
+        })
     };
     assert_eq!(advice(true, RATED), Some(2000.0 / 6.0));
     assert_eq!(advice(true, FREE), Some(250.0));
--- a/limiter-core/tests/slow_start.rs
+++ b/limiter-core/tests/slow_start.rs
@@ -14,13 +14,13 @@
 const BURST: f64 = 1.5;
 
 fn small_servers(limiters: u32, position: u32) -> Settings {
-    Settings { limiters, cold_share: 0.15, ..settings(position) }
+    Settings { limiters, cold_capacity_fraction: 0.15, ..settings(position) }
 }
 
 /// Some servers leave, and as many have started.
-fn successors(replaced: u32, started: Millis) -> Vec<ServerEntry> {
-    let leaving = (0..replaced).map(|n| ServerEntry { condition: Condition::Draining, ..entry(n) });
-    leaving.chain((100..100 + replaced).map(|n| ServerEntry { started, ..entry(n) })).collect()
+fn successors(replaced: u32, started: Millis) -> Vec<Endpoint> {
+    let leaving = (0..replaced).map(|n| Endpoint { state: EndpointState::Draining, ..entry(n) });
+    leaving.chain((100..100 + replaced).map(|n| Endpoint { started_at: started, ..entry(n) })).collect()
 }
 
 /// The most that a cold server got within the fall time beyond its budget there: N calls are allowed, by the
@@ -31,10 +31,10 @@
     for n in 100..100 + SERVERS {
         let sends: Vec<Millis> = fleet.sends.iter().filter(|(_, to)| *to == server(n)).map(|s| s.0).collect();
         for (first, at) in sends.iter().enumerate() {
-            let within = sends[first..].iter().take_while(|t| **t < at + s.fall_ms).count();
-            let age = ((at - started) / s.cold_ms).min(1.0);
-            let capacity = CAPACITY * (s.cold_share + (1.0 - s.cold_share) * age);
-            let budget = s.fall_multiple * capacity * s.fall_ms / 1000.0;
+            let within = sends[first..].iter().take_while(|t| **t < at + s.overload_ms).count();
+            let age = ((at - started) / s.slow_start_ms).min(1.0);
+            let capacity = CAPACITY * (s.cold_capacity_fraction + (1.0 - s.cold_capacity_fraction) * age);
+            let budget = s.overload_factor * capacity * s.overload_ms / 1000.0;
             let beyond = within as f64 - (budget + 2.0 * budget.sqrt() + 2.0);
             if beyond > most.0 {
                 most = (beyond, within);
@@ -52,8 +52,8 @@
     let per_s = USED * CAPACITY * f64::from(SERVERS);
     let busy = (limiters / 10).max(1);
     let request = |id: RequestId| {
-        let spread = if id.is_multiple_of(2) { busy } else { limiters };
-        Request { spread, ..request(id, SAFE, FREE) }
+        let member_count = if id.is_multiple_of(2) { busy } else { limiters };
+        Request { member_count, ..request(id, SAFE, FREE) }
     };
     fleet.play(per_s, 6.0, request);
     let started = fleet.net.now;
@@ -65,7 +65,8 @@
             let seed = 1000 + u64::from(second * limiters + p);
             fleet.answers.retain(|a| a.1 != p as usize);
             fleet.net.restart(p as usize, small_servers(limiters, p), SERVERS, seed);
-            let list = Event::Servers { whole: false, entries: successors(replaced, started).into() };
+            let list =
+                Event::EndpointsChanged { complete: false, endpoints: successors(replaced, started).into() };
             let actions = fleet.net.give(p as usize, list);
             fleet.take(p as usize, actions);
         }
--- a/limiter/src/clients.rs
+++ b/limiter/src/clients.rs
@@ -18,7 +18,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use limiter_core::{Effect, Request, RequestId};
+use limiter_core::{Idempotency, Request, RequestId};
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
@@ -510,10 +510,10 @@
     drop(waiting);
     match answer {
         Ok(Answer::Served(body)) => Response::new(Full::new(body)),
-        Ok(Answer::Refused(retry_ms)) => {
+        Ok(Answer::Refused(retry_after_ms)) => {
             let mut answer = plain(StatusCode::TOO_MANY_REQUESTS, "");
-            if retry_ms > 0.0 {
-                if let Ok(value) = HeaderValue::from_str(&format!("{:.3}", retry_ms / 1000.0)) {
+            if retry_after_ms > 0.0 {
+                if let Ok(value) = HeaderValue::from_str(&format!("{:.3}", retry_after_ms / 1000.0)) {
                     answer.headers_mut().insert(RETRY_AFTER, value);
                 }
             }
@@ -604,8 +604,8 @@
         .and_then(|c| u64::from_str_radix(c, 16).ok())
         .filter(|c| *c < 1 << 33)
         .ok_or_else(|| bad("the customer is not 16 hex digits below 2^33"))?;
-    let effect = settings.classes.get(class).map_or(Effect::Unsafe, |c| c.effect);
-    if head.method != if effect == Effect::Safe { Method::GET } else { Method::POST } {
+    let effect = settings.classes.get(class).map_or(Idempotency::NonIdempotent, |c| c.idempotency);
+    if head.method != if effect == Idempotency::Idempotent { Method::GET } else { Method::POST } {
         return Err((StatusCode::METHOD_NOT_ALLOWED, "not this class's method"));
     }
     let text = |name: &HeaderName| head.headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim);
@@ -619,7 +619,7 @@
         .ok_or_else(|| bad("no good X-Weight"))?;
     let correlation = full(&head.headers, &CORRELATION).ok_or_else(|| bad("no X-Correlation-Id"))?;
     let key = full(&head.headers, &KEY);
-    if effect == Effect::Keyed && key.is_none() {
+    if effect == Idempotency::WithKey && key.is_none() {
         return Err(bad("no Idempotency-Key"));
     }
     let target = head.uri.path_and_query().ok_or_else(|| bad("no path"))?.clone().into();
@@ -628,10 +628,10 @@
         class,
         plan,
         customer,
-        budget_ms: left_s.min(KEPT_TIME_LEFT) * 1000.0,
-        units,
-        spread,
-        first,
+        timeout_ms: left_s.min(KEPT_TIME_LEFT) * 1000.0,
+        cost_units: units,
+        member_count: spread,
+        first_member: first,
     };
     Ok(Told { request, target, correlation, key })
 }
--- a/limiter/src/config.rs
+++ b/limiter/src/config.rs
@@ -20,7 +20,9 @@
     peer_listen: Option<SocketAddr>,
     #[serde(default)]
     peers: Vec<SocketAddr>,
-    peers_all: Option<SocketAddr>,
+    /// Checked but unused: gossip goes to one peer at a time.
+    #[serde(rename = "peers_all")]
+    _peers_all: Option<SocketAddr>,
     known: Option<serde_json::Value>,
     settings: Setup,
 }
@@ -57,8 +59,6 @@
     pub peer_listen: Option<SocketAddr>,
     /// Peers by their position, this limiter among them.
     pub peers: Vec<SocketAddr>,
-    /// Reaches every peer.
-    pub peers_all: Option<SocketAddr>,
     /// The list of servers as it was last known; may be old.
     pub known: Option<List>,
     /// Milliseconds after which an idle connection to a server is dropped.
@@ -169,7 +169,6 @@
             most_servers: all / 3,
             peer_listen: file.peer_listen,
             peers: file.peers,
-            peers_all: file.peers_all,
             known,
             idle_ms: server_idle * IDLE_PART,
             drain_ms,
--- a/limiter/src/discovery.rs
+++ b/limiter/src/discovery.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use limiter_core::{Condition, Event, ServerEntry, ServerId, Settings};
+use limiter_core::{Endpoint, EndpointState, Event, ServerId, Settings};
 use serde::Deserialize;
 use serde_json::Value;
 use tokio::net::TcpStream;
@@ -83,7 +83,7 @@
     /// All servers, not only changes.
     pub whole: bool,
     /// The servers and where they listen.
-    pub entries: Vec<(ServerEntry, SocketAddr)>,
+    pub entries: Vec<(Endpoint, SocketAddr)>,
 }
 
 impl ListUpdate {
@@ -94,7 +94,7 @@
         }
         let changed = |id: &ServerId| self.entries.iter().any(|(e, _)| e.server == *id);
         let mut entries: Vec<_> = before.entries.into_iter().filter(|(e, _)| !changed(&e.server)).collect();
-        entries.extend(self.entries.into_iter().filter(|(e, _)| e.condition != Condition::Gone));
+        entries.extend(self.entries.into_iter().filter(|(e, _)| e.state != EndpointState::Removed));
         ListUpdate { whole: true, entries }
     }
 }
@@ -114,26 +114,26 @@
 /// One server. The module's clock counts Unix time, so that starts need no conversion. A figure that cannot be read
 /// is one that is not told; without its name or state an entry says nothing, nor does a server that takes requests
 /// nobody knows where. That one leaves is heard in any case.
-fn entry(value: &Value, zone: impl Fn(&str) -> Option<u32>) -> Option<(ServerEntry, SocketAddr)> {
+fn entry(value: &Value, zone: impl Fn(&str) -> Option<u32>) -> Option<(Endpoint, SocketAddr)> {
     let text = |name: &str| value.get(name).and_then(Value::as_str);
     let figure = |name: &str| value.get(name).and_then(Value::as_f64);
     let condition = match text("state")? {
-        "active" => Condition::Serving,
-        "left" => Condition::Gone,
-        _ => Condition::Draining,
+        "active" => EndpointState::Serving,
+        "left" => EndpointState::Removed,
+        _ => EndpointState::Draining,
     };
     let addr = match text("addr").and_then(|a| a.parse().ok()) {
-        None if condition != Condition::Serving => SocketAddr::from(([0, 0, 0, 0], 0)),
+        None if condition != EndpointState::Serving => SocketAddr::from(([0, 0, 0, 0], 0)),
         addr => addr?,
     };
-    let entry = ServerEntry {
+    let entry = Endpoint {
         server: text("id")?.into(),
         // A zone that the settings do not name is no limiter's own.
         zone: text("zone").and_then(zone).unwrap_or(u32::MAX),
         cell: value.get("cell").and_then(Value::as_u64).and_then(|c| u32::try_from(c).ok()).unwrap_or(0),
-        condition,
+        state: condition,
         weight: figure("weight").unwrap_or(1.0),
-        started: figure("started_ms").unwrap_or(0.0),
+        started_at: figure("started_ms").unwrap_or(0.0),
     };
     Some((entry, addr))
 }
@@ -241,7 +241,7 @@
         if driver.sources.newest.get() != source.number {
             return driver.log(&format!("discovery: {why:?}; {} is watched no more", source.addr));
         }
-        driver.event(Event::ListFailed);
+        driver.event(Event::WatchFailed);
         let told = source.version != before;
         let again = matches!(why, End::Bad(_)) && !told;
         let took = began.elapsed();
@@ -254,12 +254,9 @@
             driver.log(&format!("discovery: {why:?}; watching again"));
         }
         last = Some(why);
-        tokio::select! {
-            () = tokio::time::sleep(wait) => {}
-            () = driver.list_wanted.notified() => {}
-        }
+        tokio::time::sleep(wait).await;
         // What cannot be read from the last version on may be read whole.
-        if driver.take_whole_wanted() || again {
+        if again {
             source.version = None;
         }
     }
@@ -306,11 +303,7 @@
     let mut heard = false;
     let mut end = Instant::now() + SILENCE;
     loop {
-        let frame = tokio::select! {
-            frame = timeout_at(end, body.frame()) => frame,
-            () = driver.list_wanted.notified() => return End::Broken("asked for anew".to_string()),
-        };
-        let frame = match frame {
+        let frame = match timeout_at(end, body.frame()).await {
             Err(_) => return End::Silent,
             Ok(None) => return End::Broken("ended".to_string()),
             Ok(Some(Err(e))) => return End::Broken(e.to_string()),
@@ -342,7 +335,7 @@
             end = Instant::now() + SILENCE;
             // Nothing has changed: that is a word of discovery, too.
             if !std::mem::replace(&mut heard, true) {
-                driver.event(Event::Servers { whole: false, entries: [].into() });
+                driver.event(Event::EndpointsChanged { complete: false, endpoints: [].into() });
             }
         }
     }
--- a/limiter/src/discovery/tests.rs
+++ b/limiter/src/discovery/tests.rs
@@ -12,19 +12,18 @@
         zone: 0,
         classes: Vec::new(),
         plans: Vec::new(),
-        round_ms: 1.0,
+        event_interval_ms: 1.0,
         max_attempts: 1,
         connect_timeout_ms: 250.0,
-        may_probe: false,
-        may_tell: false,
-        may_cancel: true,
-        may_advise: false,
-        messages_per_s: 0.0,
+        can_gossip: false,
+        can_cancel: true,
+        can_send_retry_after: false,
+        gossip_messages_per_s: 0.0,
         must_subscribe: false,
-        cold_share: 0.2,
-        cold_ms: 10_000.0,
-        fall_multiple: 3.0,
-        fall_ms: 2000.0,
+        cold_capacity_fraction: 0.2,
+        slow_start_ms: 10_000.0,
+        overload_factor: 3.0,
+        overload_ms: 2000.0,
     }
 }
 
@@ -158,11 +157,11 @@
     let read = |text: &str| entry(&serde_json::from_str(text).expect("JSON"), |_| Some(1));
     let known = read(r#"{"id":"s","addr":"127.0.0.1:1","state":"active","weight":"x","started_ms":null}"#);
     let (known, _) = known.expect("an entry");
-    assert_eq!((known.weight, known.started, known.condition), (1.0, 0.0, Condition::Serving));
+    assert_eq!((known.weight, known.started_at, known.state), (1.0, 0.0, EndpointState::Serving));
     let gone = read(r#"{"id":"s","state":"left"}"#).expect("an entry").0;
-    assert_eq!((gone.condition, gone.zone), (Condition::Gone, u32::MAX));
+    assert_eq!((gone.state, gone.zone), (EndpointState::Removed, u32::MAX));
     let drains = read(r#"{"id":"s","addr":7,"state":"leaving","cell":-1}"#).expect("an entry").0;
-    assert_eq!(drains.condition, Condition::Draining);
+    assert_eq!(drains.state, EndpointState::Draining);
     for text in ["7", "{}", r#"{"id":"s","state":"active","addr":"nowhere"}"#, r#"{"id":7,"state":"left"}"#] {
         assert!(read(text).is_none(), "{text}");
     }
--- a/limiter/src/driver.rs
+++ b/limiter/src/driver.rs
@@ -10,7 +10,9 @@
 
 use bytes::Bytes;
 use hyper::header::HeaderValue;
-use limiter_core::{Action, Condition, Event, Limiter, Load, Outcome, Request, RequestId, ServerId};
+use limiter_core::{
+    Action, EndpointState, Event, Limiter, Outcome, Request, RequestId, ServerId, TimerToken,
+};
 use tokio::net::UdpSocket;
 use tokio::sync::{oneshot, Notify};
 
@@ -86,7 +88,7 @@
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
-    Wake(u64),
+    Wake(TimerToken),
     /// An attempt's time is up.
     Cap(RequestId, u32),
     /// The client's time is up.
@@ -122,7 +124,7 @@
         let before = self.timers.len();
         while let Some(Reverse((_, what))) = self.timers.peek() {
             let wanted = match what {
-                Due::Wake(token) => self.limiter.wants(*token),
+                Due::Wake(token) => self.limiter.is_live(*token),
                 Due::Cap(id, attempt) => self.out.contains_key(&(*id, *attempt)),
                 Due::Deadline(id) => self.open.contains_key(id),
             };
@@ -143,9 +145,6 @@
     pub sources: Sources,
     /// Connections to servers.
     pub pool: RefCell<Pool>,
-    /// The module wants the list: ends the watch's waiting.
-    pub list_wanted: Notify,
-    whole_wanted: Cell<bool>,
     told: Cell<bool>,
     /// A server that takes work has been told of.
     had_server: Cell<bool>,
@@ -192,8 +191,6 @@
             sources: Sources::new(config.discovery),
             pool: RefCell::new(Pool::new(config.most_servers, config.idle_ms)),
             config,
-            list_wanted: Notify::new(),
-            whole_wanted: Cell::new(false),
             told: Cell::new(false),
             had_server: Cell::new(false),
             earlier: Cell::new(None),
@@ -209,7 +206,7 @@
             // older list. Where lists are asked for, only what was heard is told.
             if driver.config.settings.must_subscribe {
                 driver.apply(earlier);
-                driver.event(Event::ListFailed);
+                driver.event(Event::WatchFailed);
             } else {
                 driver.earlier.set(Some(earlier));
             }
@@ -251,7 +248,7 @@
         let age_ms = self.clock.began.elapsed().as_secs_f64() * 1000.0;
         let told = self.told.get() || age_ms > self.untold_ms();
         let state = self.state.borrow();
-        let serves = state.servers.values().any(|s| s.takes) && state.limiter.settled(self.now());
+        let serves = state.servers.values().any(|s| s.takes) && state.limiter.is_ready(self.now());
         let waited = !self.had_server.get() && age_ms > READY_MS;
         !self.draining.get() && (waited || (told && serves))
     }
@@ -268,11 +265,6 @@
         }
     }
 
-    /// Whether the module asked for the whole list; asked once.
-    pub fn take_whole_wanted(&self) -> bool {
-        self.whole_wanted.replace(false)
-    }
-
     /// Takes one event in and does what the module answers.
     pub fn event(self: &Rc<Self>, event: Event) {
         let mut state = self.state.borrow_mut();
@@ -303,13 +295,13 @@
             });
         }
         for (entry, addr) in &update.entries {
-            let takes = entry.condition == Condition::Serving;
+            let takes = entry.state == EndpointState::Serving;
             self.had_server.set(self.had_server.get() || takes);
-            let gone = entry.condition == Condition::Gone;
+            let gone = entry.state == EndpointState::Removed;
             let old = if gone {
                 state.servers.remove(&entry.server)
             } else {
-                let known = Known { addr: *addr, takes, started: entry.started };
+                let known = Known { addr: *addr, takes, started: entry.started_at };
                 state.servers.insert(entry.server.clone(), known)
             };
             let changed = match &old {
@@ -317,15 +309,15 @@
                 None => !gone,
             };
             if changed {
-                self.log(&format!("server {} at {addr}: {:?}", entry.server, entry.condition));
+                self.log(&format!("server {} at {addr}: {:?}", entry.server, entry.state));
             }
             // What was open to a process that has started again since is of no use, also where it looks alive.
-            if old.is_some_and(|o| !takes || o.addr != *addr || o.started != entry.started) {
+            if old.is_some_and(|o| !takes || o.addr != *addr || o.started != entry.started_at) {
                 self.pool.borrow_mut().drop_idle(&entry.server);
             }
         }
         let entries = update.entries.into_iter().map(|(e, _)| e).collect();
-        state.events.push_back(Event::Servers { whole: update.whole, entries });
+        state.events.push_back(Event::EndpointsChanged { complete: update.whole, endpoints: entries });
         self.work(&mut state);
     }
 
@@ -343,12 +335,12 @@
         let id = state.next;
         state.next = state.next.wrapping_add(1);
         request.id = id;
-        let deadline = self.now() + request.budget_ms;
+        let deadline = self.now() + request.timeout_ms;
         let (answer, answered) = oneshot::channel();
         let open = Open { content: Rc::new(content), answer, deadline, attempts: 0, out: false };
         state.open.insert(id, open);
         self.due(&mut state, deadline, Due::Deadline(id));
-        state.events.push_back(Event::Request(request));
+        state.events.push_back(Event::RequestArrived(request));
         self.work(&mut state);
         Some((id, answered))
     }
@@ -356,7 +348,7 @@
     /// SIGTERM has come: no more clients are asked for, and all that is taken is answered in time.
     pub fn ending(self: &Rc<Self>) {
         self.draining.set(true);
-        self.event(Event::Ending { by: self.now() + self.config.end_ms });
+        self.event(Event::ShutdownStarted { deadline: self.now() + self.config.end_ms });
     }
 
     /// Whether a request still waits for its answer.
@@ -368,7 +360,7 @@
     pub fn client_gone(self: &Rc<Self>, id: RequestId) {
         let mut state = self.state.borrow_mut();
         if state.settle(id).is_some() {
-            state.events.push_back(Event::ClientGone { id });
+            state.events.push_back(Event::ClientDisconnected { id });
             self.work(&mut state);
         }
     }
@@ -384,20 +376,20 @@
         let mut guard = self.state.borrow_mut();
         let state = &mut *guard;
         let Some(out) = state.out.remove(&(id, attempt)) else { return };
-        let mut settled = true;
+        let mut finished = true;
         if let Some(open) = state.open.get_mut(&id) {
             open.out = false;
-            settled = false;
+            finished = false;
         }
         if end.outcome == Outcome::Ok {
             if let Some(open) = state.settle(id) {
-                settled = true;
+                finished = true;
                 let _ = open.answer.send(Answer::Served(end.body.unwrap_or_default()));
             }
         }
-        let took_ms = self.now() - out.sent;
+        let elapsed_ms = self.now() - out.sent;
         let units = end.units;
-        state.events.push_back(attempt_ended(id, attempt, end.outcome, took_ms, settled, units));
+        state.events.push_back(attempt_ended(id, attempt, end.outcome, elapsed_ms, finished, units));
         self.work(state);
     }
 
@@ -417,47 +409,24 @@
 
     fn act(self: &Rc<Self>, state: &mut State, action: Action) {
         match action {
-            Action::Send { id, server, cap_ms, begin_ms } => self.send(state, id, server, cap_ms, begin_ms),
-            Action::Cancel { id, attempt } => stop(state, id, attempt, Outcome::Cancelled),
-            Action::Refuse { id, retry_ms } => answer(state, id, Answer::Refused(retry_ms)),
+            Action::Forward { id, server, begin_within_ms } => self.send(state, id, server, begin_within_ms),
+            Action::CancelAttempt { id, attempt } => stop(state, id, attempt, Outcome::Cancelled),
+            Action::Reject { id, retry_after_ms } => answer(state, id, Answer::Refused(retry_after_ms)),
             Action::Fail { id } => answer(state, id, Answer::Failed),
-            Action::Wake { after_ms, token } => {
+            Action::SetTimer { after_ms, token } => {
                 self.due(state, self.now() + after_ms.max(0.0), Due::Wake(token));
             }
-            Action::Tell { to, body } => {
-                let to = match to {
-                    Some(position) => self.config.peers.get(position as usize).copied(),
-                    None => self.config.peers_all,
-                };
+            Action::SendGossip { to, body } => {
+                let to = self.config.peers.get(to as usize).copied();
                 peers::tell(self.mail.as_deref(), to, &body);
             }
-            Action::CloseIdle { server } => {
-                self.pool.borrow_mut().drop_idle(&server);
-            }
             // The watch is always on.
-            Action::Subscribe(_) => {}
-            // The word is kept for a watch that is just being begun.
-            Action::FetchList => {
-                self.whole_wanted.set(true);
-                self.list_wanted.notify_one();
-            }
-            Action::Log(line) => self.log(&line),
-            // Servers may not be probed here, and limiters talk as peers: the module does neither. Should it,
-            // it hears at once that nothing was sent.
-            Action::Probe { server } => {
-                state.events.push_back(Event::Probed {
-                    server,
-                    outcome: Outcome::NotSent,
-                    load: Load::default(),
-                });
-            }
-            Action::Count { name, .. } => {
-                state.events.push_back(Event::Counted { name, outcome: Outcome::NotSent, total: 0.0 });
-            }
+            Action::SubscribeToEndpoints => {}
+            Action::LogEjection(ejection) => self.log(&ejection.to_string()),
         }
     }
 
-    fn send(self: &Rc<Self>, state: &mut State, id: RequestId, server: ServerId, cap_ms: f64, begin_ms: f64) {
+    fn send(self: &Rc<Self>, state: &mut State, id: RequestId, server: ServerId, begin_ms: f64) {
         let Some(open) = state.open.get_mut(&id) else { return };
         let now = self.now();
         let attempt = open.attempts;
@@ -467,12 +436,12 @@
             if open.out {
                 self.log(&format!("request {id}: a second attempt beside the first was not sent"));
             }
-            let settled = false;
-            state.events.push_back(attempt_ended(id, attempt, Outcome::NotSent, 0.0, settled, None));
+            let finished = false;
+            state.events.push_back(attempt_ended(id, attempt, Outcome::NotSent, 0.0, finished, None));
             return;
         }
         open.out = true;
-        let end = if cap_ms > 0.0 { open.deadline.min(now + cap_ms) } else { open.deadline };
+        let end = open.deadline;
         let (cancel, cancelled) = oneshot::channel();
         let job = servers::Job {
             id,
@@ -525,14 +494,14 @@
             }
             state.timers.pop();
             match what {
-                Due::Wake(token) => state.events.push_back(Event::Wake { token }),
+                Due::Wake(token) => state.events.push_back(Event::TimerFired { token }),
                 Due::Cap(id, attempt) => stop(&mut state, id, attempt, Outcome::TimedOut),
                 // The backstop: the module ends its requests before this. Nothing is sent after it.
                 Due::Deadline(id) => {
                     if state.open.contains_key(&id) {
                         self.log(&format!("request {id}: failed at its deadline"));
                         answer(&mut state, id, Answer::Failed);
-                        state.events.push_back(Event::ClientGone { id });
+                        state.events.push_back(Event::ClientDisconnected { id });
                     }
                 }
             }
@@ -545,11 +514,11 @@
     id: RequestId,
     attempt: u32,
     outcome: Outcome,
-    took_ms: f64,
-    settled: bool,
+    elapsed_ms: f64,
+    finished: bool,
     units: Option<f64>,
 ) -> Event {
-    Event::AttemptEnded { id, attempt, outcome, took_ms, settled, units, load: Load::default() }
+    Event::AttemptEnded { id, attempt, outcome, elapsed_ms, finished, actual_units: units }
 }
 
 /// Tells an attempt to close its connection and then to end as told.
--- a/limiter/src/peers.rs
+++ b/limiter/src/peers.rs
@@ -18,7 +18,7 @@
         match socket.recv_from(&mut buffer).await {
             Ok((length, sender)) if length <= MOST_BYTES => {
                 if let Some(from) = position(&driver.config.peers, sender) {
-                    driver.event(Event::Heard { from, body: buffer[..length].to_vec() });
+                    driver.event(Event::GossipReceived { from, body: buffer[..length].to_vec() });
                 }
             }
             Ok(_) => {}
--- a/limiter/src/servers.rs
+++ b/limiter/src/servers.rs
@@ -192,20 +192,20 @@
             Ok(answer) => answer,
             // A request that is given back was not written; of any other it is not known.
             Err(mut e) => match e.take_message() {
-                Some(_) => return Outcome::NoConnection.into(),
-                None => return Outcome::Severed.into(),
+                Some(_) => return Outcome::ConnectFailed.into(),
+                None => return Outcome::ConnectionLost.into(),
             },
         };
         let (head, mut body) = answer.into_parts();
         if body.size_hint().lower() > MOST_BODY as u64 {
-            return Outcome::Severed.into();
+            return Outcome::ConnectionLost.into();
         }
         let mut whole = BytesMut::new();
         while let Some(frame) = body.frame().await {
-            let Ok(frame) = frame else { return Outcome::Severed.into() };
+            let Ok(frame) = frame else { return Outcome::ConnectionLost.into() };
             if let Some(data) = frame.data_ref() {
                 if whole.len() + data.len() > MOST_BODY {
-                    return Outcome::Severed.into();
+                    return Outcome::ConnectionLost.into();
                 }
                 whole.extend_from_slice(data);
             }
@@ -218,14 +218,14 @@
                 units: true_units(&head.headers, driver.config.most_units),
             },
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => {
-                Outcome::Full.into()
+                Outcome::Rejected.into()
             }
             _ => Outcome::Error.into(),
         }
     };
     let (end, mut ended) = drive(answer, connection).await;
     // Only a connection whose answer was read to its end may serve again.
-    ended |= !matches!(end.outcome, Outcome::Ok | Outcome::Error | Outcome::Full);
+    ended |= !matches!(end.outcome, Outcome::Ok | Outcome::Error | Outcome::Rejected);
     // Nor one of a server that takes nothing new by now: nobody would close it.
     if !ended && driver.address(&job.server) == Some(addr) && link.alive() {
         driver.pool.borrow_mut().put(&job.server, link);
@@ -265,11 +265,11 @@
             driver.log(&format!("connect: {e}"));
             return Err(Outcome::NotSent);
         }
-        Ok(Err(_)) | Err(_) => return Err(Outcome::NoConnection),
+        Ok(Err(_)) | Err(_) => return Err(Outcome::ConnectFailed),
     };
     let _ = stream.set_nodelay(true);
     let made = http1::Builder::new().max_buf_size(MOST_BODY).handshake(TokioIo::new(stream)).await;
-    let (sender, connection) = made.map_err(|_| Outcome::NoConnection)?;
+    let (sender, connection) = made.map_err(|_| Outcome::ConnectFailed)?;
     Ok(Link { sender, connection, _room: room })
 }
 
--- a/limiter/tests/crossings.rs
+++ b/limiter/tests/crossings.rs
@@ -113,7 +113,7 @@
     // Two at once: a change, a beat, the next change.
     let back = indent(&line(7, false, &[("s-1", one.addr, "left"), ("s-2", two.addr, "active")]));
     node.discovery.push(&format!("{change}\n\n{back}"));
-    node.wait_log("Gone");
+    node.wait_log("Removed");
     assert_eq!(ask(&node, &get("look", "")).body, "two");
     assert_eq!(node.discovery.calls(), 1, "one watch reads them all");
 }
--- a/limiter/tests/sockets.rs
+++ b/limiter/tests/sockets.rs
@@ -243,7 +243,7 @@
     let node = Node::start(&[("s-1", &one, "active"), ("s-2", &two, "active")]);
     for state in ["leaving", "left"] {
         node.discovery.push(&line(2, false, &[("s-1", one.addr, state)]));
-        node.wait_log(if state == "left" { "Gone" } else { "Draining" });
+        node.wait_log(if state == "left" { "Removed" } else { "Draining" });
         let before = one.seen().len();
         for _ in 0..20 {
             assert_eq!(ask(&node, &get("look", "")).body, "two");
@@ -659,7 +659,7 @@
     let (server, node, mut first) = with_one_open();
     let now = [("s-1", server.addr, "left"), ("s-2", server.addr, "active")];
     node.discovery.push(&line(2, false, &now));
-    node.wait_log("Gone");
+    node.wait_log("Removed");
     assert_eq!(read_answer(&mut first).status, 200);
     std::thread::sleep(Duration::from_millis(50));
     assert_eq!(ask(&node, &get("look", "")).status, 200);
--- a/simulator-adapter/src/main.rs
+++ b/simulator-adapter/src/main.rs
@@ -6,8 +6,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use limiter_core::interface::{Action, Event, ServerEntry};
-use limiter_core::Limiter;
+use limiter_core::{Action, Endpoint, Event, Limiter, TimerToken};
 use simulator_adapter::wire::{self, Batch, Element, In, Names, Out, Reply, Scope};
 
 struct Instance {
@@ -49,37 +48,33 @@
             }
             In::WorkItem(w) => {
                 let request = self.named(&w.limiter_id)?.names.request(&w)?;
-                (w.limiter_id, Event::Request(request))
+                (w.limiter_id, Event::RequestArrived(request))
             }
-            In::Streaming { limiter_id, ticket } => (limiter_id, Event::Streaming { id: ticket }),
+            In::Streaming { limiter_id, ticket } => (limiter_id, Event::ResponseStarted { id: ticket }),
             In::AttemptEnd(a) => {
                 let event = Event::AttemptEnded {
                     id: a.ticket,
                     attempt: a.trial,
                     outcome: a.outcome.outcome(),
-                    took_ms: a.duration_ms,
-                    settled: a.no_more,
-                    units: a.actual.filter(|u| *u > 0.0),
-                    load: wire::load(a.telemetry),
+                    elapsed_ms: a.duration_ms,
+                    finished: a.no_more,
+                    actual_units: a.actual.filter(|u| *u > 0.0),
                 };
                 (a.limiter_id, event)
             }
-            In::ClientGone { limiter_id, ticket } => (limiter_id, Event::ClientGone { id: ticket }),
-            In::TimeoutFired { limiter_id, key_back } => (limiter_id, Event::Wake { token: key_back }),
-            In::StatusBack { limiter_id, server, outcome, telemetry } => {
-                let event = Event::Probed {
-                    server: Arc::from(server),
-                    outcome: outcome.outcome(),
-                    load: wire::load(telemetry),
-                };
-                (limiter_id, event)
+            In::ClientGone { limiter_id, ticket } => (limiter_id, Event::ClientDisconnected { id: ticket }),
+            In::TimeoutFired { limiter_id, key_back } => {
+                self.named(&limiter_id)?;
+                // A number that is no token of a limiter means nothing to it.
+                let Some(token) = TimerToken::decode(key_back) else { return Ok(()) };
+                (limiter_id, Event::TimerFired { token })
             }
             In::Heard { limiter_id, who, body } => {
-                (limiter_id, Event::Heard { from: who, body: wire::from_hex(&body)? })
+                (limiter_id, Event::GossipReceived { from: who, body: wire::from_hex(&body)? })
             }
-            In::Total { limiter_id, entry_name, outcome, sum } => {
-                let total = sum.unwrap_or_default();
-                (limiter_id, Event::Counted { name: entry_name, outcome: outcome.outcome(), total })
+            // Limiters neither probe servers nor use the shared counter: there is nothing to hear of either.
+            In::StatusBack { limiter_id, .. } | In::Total { limiter_id, .. } => {
+                return self.named(&limiter_id).map(|_| ());
             }
         };
         let Host { instances, actions, .. } = self;
@@ -91,7 +86,7 @@
 
     fn start(&mut self, now: f64, id: String, seed: u64, setup: wire::Setup) -> Result<(), String> {
         let (settings, names) = wire::settings(setup)?;
-        let limiter = Limiter::new(settings, seed, now)?;
+        let limiter = Limiter::new(settings, seed, now).map_err(|e| e.to_string())?;
         let instance = Instance { id: Arc::from(id.as_str()), names, limiter };
         self.instances.insert(id, instance);
         Ok(())
@@ -104,13 +99,13 @@
     fn servers(&self, id: &str, scope: Scope, page: Option<u32>) -> Result<Event, String> {
         let instance = self.named(id)?;
         if scope == Scope::Failed {
-            return Ok(Event::ListFailed);
+            return Ok(Event::WatchFailed);
         }
         let page = page.ok_or("BACKENDS_CHANGED without Page")?;
         let lines = self.pages.get(&page).ok_or_else(|| format!("no CENSUS of page {page}"))?;
-        let entries: Result<Arc<[ServerEntry]>, String> =
+        let entries: Result<Arc<[Endpoint]>, String> =
             lines.iter().map(|e| wire::entry(e, &instance.names)).collect();
-        Ok(Event::Servers { whole: scope != Scope::Delta, entries: entries? })
+        Ok(Event::EndpointsChanged { complete: scope != Scope::Delta, endpoints: entries? })
     }
 }
 
--- a/simulator-adapter/src/wire.rs
+++ b/simulator-adapter/src/wire.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use limiter_core::interface as lib;
+use limiter_core as lib;
 use serde::{Deserialize, Serialize};
 
 /// One line of input.
@@ -266,24 +266,11 @@
     Decline { limiter_id: Arc<str>, ticket: u32, backoff_ms: f64 },
     Lose { limiter_id: Arc<str>, ticket: u32 },
     Sleep { limiter_id: Arc<str>, after_ms: f64, key_back: u64 },
-    Probe { limiter_id: Arc<str>, server: Arc<str> },
-    ShutIdle { limiter_id: Arc<str>, server: Arc<str> },
-    Tell { limiter_id: Arc<str>, dest: Dest, body: String },
-    AddAndGet { limiter_id: Arc<str>, entry_name: u64, add: f64, lifetime_ms: f64 },
+    Tell { limiter_id: Arc<str>, dest: u32, body: String },
     Follow { limiter_id: Arc<str>, on: bool },
-    Snapshot { limiter_id: Arc<str> },
     Remark { limiter_id: Arc<str>, line: String },
 }
 
-/// Receiver of a message.
-#[derive(Serialize)]
-#[serde(untagged)]
-#[allow(missing_docs)]
-pub enum Dest {
-    One(u32),
-    All(&'static str),
-}
-
 /// Names that the wire uses for what the module knows by index.
 pub struct Names {
     classes: BTreeMap<String, usize>,
@@ -317,10 +304,10 @@
             plan: plan.ok_or_else(|| format!("unknown plan '{}'", w.plan))?,
             customer: u64::from_str_radix(&w.client_id, 16)
                 .map_err(|_| format!("ClientId '{}' is not 16 hex digits", w.client_id))?,
-            budget_ms: w.budget_ms,
-            units: w.price_units,
-            spread: w.entry_points,
-            first: w.set_from,
+            timeout_ms: w.budget_ms,
+            cost_units: w.price_units,
+            member_count: w.entry_points,
+            first_member: w.set_from,
         })
     }
 }
@@ -344,44 +331,51 @@
         zone: names.zone(&s.zone)?,
         classes,
         plans,
-        round_ms: s.round_ms,
+        event_interval_ms: s.round_ms,
         max_attempts: s.bounds.most_tries,
         connect_timeout_ms: s.bounds.dial_timeout_ms,
-        may_probe: s.bounds.probes,
-        may_tell: s.bounds.may_tell,
-        may_cancel: s.bounds.cancelling,
-        may_advise: s.bounds.retry_after,
-        messages_per_s: s.domain.mail_per_s,
+        can_gossip: s.bounds.may_tell,
+        can_cancel: s.bounds.cancelling,
+        can_send_retry_after: s.bounds.retry_after,
+        gossip_messages_per_s: s.domain.mail_per_s,
         must_subscribe: s.discovery == Discovery::Subscribe,
-        cold_share: s.obligations.start_capacity,
-        cold_ms: s.obligations.cold_ms,
-        fall_multiple: s.obligations.fall_multiple,
-        fall_ms: s.obligations.tip_after_ms,
+        cold_capacity_fraction: s.obligations.start_capacity,
+        slow_start_ms: s.obligations.cold_ms,
+        overload_factor: s.obligations.fall_multiple,
+        overload_ms: s.obligations.tip_after_ms,
     };
     Ok((settings, names))
 }
 
-fn class(c: Class) -> Result<lib::Class, String> {
+fn class(c: Class) -> Result<lib::RequestClass, String> {
     let effect = match c.effect {
-        Effect::ReadLike => lib::Effect::Safe,
-        Effect::IdempotencyKey => lib::Effect::Keyed,
-        Effect::NonIdempotent => lib::Effect::Unsafe,
+        Effect::ReadLike => lib::Idempotency::Idempotent,
+        Effect::IdempotencyKey => lib::Idempotency::WithKey,
+        Effect::NonIdempotent => lib::Idempotency::NonIdempotent,
     };
     let group = match (c.key_scope, effect) {
-        (Some(KeyScope::All), _) => lib::KeyGroup::All,
-        (Some(KeyScope::Zone), _) => lib::KeyGroup::Zone,
-        (Some(KeyScope::Cell), _) => lib::KeyGroup::Cell,
-        (None, lib::Effect::Keyed) => return Err(format!("class '{}' is keyed without KeyScope", c.name)),
-        (None, _) => lib::KeyGroup::All,
+        (Some(KeyScope::All), _) => lib::DedupScope::All,
+        (Some(KeyScope::Zone), _) => lib::DedupScope::Zone,
+        (Some(KeyScope::Cell), _) => lib::DedupScope::Cell,
+        (None, lib::Idempotency::WithKey) => {
+            return Err(format!("class '{}' is keyed without KeyScope", c.name))
+        }
+        (None, _) => lib::DedupScope::All,
     };
-    Ok(lib::Class { aim_ms: c.aim_ms, late_worth: c.late_worth, effect, group, window_ms: c.window_ms })
+    Ok(lib::RequestClass {
+        latency_objective_ms: c.aim_ms,
+        late_value: c.late_worth,
+        idempotency: effect,
+        dedup_scope: group,
+        dedup_window_ms: c.window_ms,
+    })
 }
 
 fn plan(p: &Plan) -> lib::Plan {
     lib::Plan {
         rate: p.rate,
         burst: p.store_size,
-        open: p.at_once,
+        max_in_flight: p.at_once,
         ceiling_rate: p.hard_rate,
         ceiling_burst: p.never_over_depth,
         ceiling_slack: p.ceiling_slack,
@@ -394,34 +388,29 @@
         match self {
             Code::Completed => lib::Outcome::Ok,
             Code::Errored => lib::Outcome::Error,
-            Code::Saturated => lib::Outcome::Full,
+            Code::Saturated => lib::Outcome::Rejected,
             Code::Overdue => lib::Outcome::TimedOut,
-            Code::RefusedConn => lib::Outcome::NoConnection,
-            Code::Severed => lib::Outcome::Severed,
+            Code::RefusedConn => lib::Outcome::ConnectFailed,
+            Code::Severed => lib::Outcome::ConnectionLost,
             Code::Recalled => lib::Outcome::Cancelled,
             Code::Superseded => lib::Outcome::NotSent,
         }
     }
 }
 
-/// A load report in the module's terms.
-pub fn load(t: Option<Telemetry>) -> lib::Load {
-    t.map_or_else(lib::Load::default, |t| lib::Load { inflight: t.busy_reqs, service_ms: t.svc_ms })
-}
-
 /// A line of a server list in the module's terms.
-pub fn entry(e: &Element, names: &Names) -> Result<lib::ServerEntry, String> {
-    Ok(lib::ServerEntry {
+pub fn entry(e: &Element, names: &Names) -> Result<lib::Endpoint, String> {
+    Ok(lib::Endpoint {
         server: Arc::from(e.server.as_str()),
         zone: names.zone(&e.site)?,
         cell: e.stripe.unwrap_or_default(),
-        condition: match e.condition {
-            Condition::InService => lib::Condition::Serving,
-            Condition::Terminating => lib::Condition::Draining,
-            Condition::Terminated => lib::Condition::Gone,
+        state: match e.condition {
+            Condition::InService => lib::EndpointState::Serving,
+            Condition::Terminating => lib::EndpointState::Draining,
+            Condition::Terminated => lib::EndpointState::Removed,
         },
         weight: e.weight.unwrap_or_default(),
-        started: e.start_time_ms.unwrap_or_default(),
+        started_at: e.start_time_ms.unwrap_or_default(),
     })
 }
 
@@ -429,23 +418,16 @@
 pub fn action(limiter_id: Arc<str>, a: lib::Action) -> Out {
     use lib::Action as A;
     match a {
-        A::Send { id, server, cap_ms, .. } => Out::PassOn { limiter_id, ticket: id, cap_ms, server },
-        A::Cancel { id, attempt } => Out::UndoSend { limiter_id, ticket: id, trial: attempt },
-        A::Refuse { id, retry_ms } => Out::Decline { limiter_id, ticket: id, backoff_ms: retry_ms },
-        A::Fail { id } => Out::Lose { limiter_id, ticket: id },
-        A::Wake { after_ms, token } => Out::Sleep { limiter_id, after_ms, key_back: token },
-        A::Probe { server } => Out::Probe { limiter_id, server },
-        A::CloseIdle { server } => Out::ShutIdle { limiter_id, server },
-        A::Tell { to, body } => {
-            let dest = to.map_or(Dest::All("*"), Dest::One);
-            Out::Tell { limiter_id, dest, body: to_hex(&body) }
+        A::Forward { id, server, .. } => Out::PassOn { limiter_id, ticket: id, cap_ms: 0.0, server },
+        A::CancelAttempt { id, attempt } => Out::UndoSend { limiter_id, ticket: id, trial: attempt },
+        A::Reject { id, retry_after_ms } => {
+            Out::Decline { limiter_id, ticket: id, backoff_ms: retry_after_ms }
         }
-        A::Count { name, add, life_ms } => {
-            Out::AddAndGet { limiter_id, entry_name: name, add, lifetime_ms: life_ms }
-        }
-        A::Subscribe(on) => Out::Follow { limiter_id, on },
-        A::FetchList => Out::Snapshot { limiter_id },
-        A::Log(line) => Out::Remark { limiter_id, line },
+        A::Fail { id } => Out::Lose { limiter_id, ticket: id },
+        A::SetTimer { after_ms, token } => Out::Sleep { limiter_id, after_ms, key_back: token.encode() },
+        A::SendGossip { to, body } => Out::Tell { limiter_id, dest: to, body: to_hex(&body) },
+        A::SubscribeToEndpoints => Out::Follow { limiter_id, on: true },
+        A::LogEjection(ejection) => Out::Remark { limiter_id, line: ejection.to_string() },
     }
 }
 
