--- a/simulator-adapter/src/wire.rs
+++ b/simulator-adapter/src/wire.rs
@@ -427,10 +427,19 @@
         A::SetTimer { after_ms, token } => Out::Sleep { limiter_id, after_ms, key_back: token.encode() },
         A::SendGossip { to, body } => Out::Tell { limiter_id, dest: to, body: to_hex(&body) },
         A::SubscribeToEndpoints => Out::Follow { limiter_id, on: true },
-        A::LogEjection(ejection) => Out::Remark { limiter_id, line: ejection.to_string() },
+        A::LogEjection(ejection) => Out::Remark { limiter_id, line: remark(&ejection) },
     }
 }
 
+/// The line of a remark. Its words are part of what the simulator records and compares, and so stay as they are.
+fn remark(ejection: &lib::Ejection) -> String {
+    let reason = match ejection.reason {
+        lib::EjectionReason::Errors => "failing",
+        lib::EjectionReason::NoResponse => "silent",
+    };
+    format!("server {} {reason}, set aside for {} ms", ejection.server, ejection.duration_ms)
+}
+
 fn to_hex(bytes: &[u8]) -> String {
     const DIGITS: &[u8; 16] = b"0123456789abcdef";
     let digit = |n: u8| char::from(DIGITS[usize::from(n)]);
