--- a/limiter/src/config.rs
+++ b/limiter/src/config.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 use simulator_adapter::wire::{self, Names, Setup};
 
-use crate::discovery::List;
+use crate::endpoints::EndpointList;
 
 /// The configuration as the platform writes it.
 #[derive(Deserialize)]
@@ -52,23 +52,23 @@
     /// For random numbers.
     pub seed: u64,
     /// Most client connections held.
-    pub most_clients: usize,
+    pub max_client_connections: usize,
     /// Most connections to servers held.
-    pub most_servers: usize,
+    pub max_server_connections: usize,
     /// Where peers' datagrams arrive.
     pub peer_listen: Option<SocketAddr>,
     /// Peers by their position, this limiter among them.
     pub peers: Vec<SocketAddr>,
     /// The list of servers as it was last known; may be old.
-    pub known: Option<List>,
+    pub known_endpoints: Option<EndpointList>,
     /// Milliseconds after which an idle connection to a server is dropped.
-    pub idle_ms: f64,
+    pub server_idle_ms: f64,
     /// For how long requests are taken after SIGTERM.
-    pub drain_ms: f64,
+    pub shutdown_accept_ms: f64,
     /// How long after SIGTERM all of them are answered.
-    pub end_ms: f64,
+    pub shutdown_response_ms: f64,
     /// Most units that one request may ask for.
-    pub most_units: f64,
+    pub max_request_units: f64,
     /// The module's settings.
     pub settings: Settings,
     /// Names of classes, plans and zones.
@@ -148,7 +148,7 @@
             return Err(format!("IdleCloseMs {server_idle} is not a time"));
         }
         let (drain_ms, end_ms) = drain_ms(&file.settings);
-        let most_units = file.settings.domain.units_top.unwrap_or(MOST_UNITS);
+        let max_request_units = file.settings.domain.units_top.unwrap_or(MOST_UNITS);
         let (settings, names) = wire::settings(file.settings).map_err(|e| format!("settings: {e}"))?;
         let by_memory = file.limits.memory_mb / CONNECTION_MB;
         let by_sockets = file.limits.sockets.saturating_sub(OWN_DESCRIPTORS);
@@ -165,15 +165,15 @@
             listen,
             discovery,
             seed,
-            most_clients: all / 2,
-            most_servers: all / 3,
+            max_client_connections: all / 2,
+            max_server_connections: all / 3,
             peer_listen: file.peer_listen,
             peers: file.peers,
-            known,
-            idle_ms: server_idle * IDLE_PART,
-            drain_ms,
-            end_ms,
-            most_units,
+            known_endpoints: known,
+            server_idle_ms: server_idle * IDLE_PART,
+            shutdown_accept_ms: drain_ms,
+            shutdown_response_ms: end_ms,
+            max_request_units,
             settings,
             names,
         })
--- a/limiter/src/discovery.rs
+++ b/limiter/src/discovery/mod.rs
@@ -10,14 +10,13 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use limiter_core::{Endpoint, EndpointState, Event, ServerId, Settings};
-use serde::Deserialize;
-use serde_json::Value;
+use limiter_core::{Event, Settings};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{timeout, timeout_at, Instant};
 
-use crate::driver::Driver;
+use crate::endpoints::EndpointList;
+use crate::engine::Engine;
 
 /// Keep-alives come every 2 s. What a silent watch misses counts as told 6 s after it fell silent: it is given up soon
 /// enough for that, the longest wait of `ASKED` and an answer.
@@ -69,75 +68,6 @@
     }
 }
 
-/// A list of servers or of changes to it.
-#[derive(Deserialize, Clone)]
-pub struct List {
-    version: u64,
-    #[serde(default)]
-    full: bool,
-    servers: Vec<Value>,
-}
-
-/// A list in the module's terms, with the servers' addresses.
-pub struct ListUpdate {
-    /// All servers, not only changes.
-    pub whole: bool,
-    /// The servers and where they listen.
-    pub entries: Vec<(Endpoint, SocketAddr)>,
-}
-
-impl ListUpdate {
-    /// The list that these changes make of another.
-    pub fn after(self, before: ListUpdate) -> ListUpdate {
-        if self.whole {
-            return self;
-        }
-        let changed = |id: &ServerId| self.entries.iter().any(|(e, _)| e.server == *id);
-        let mut entries: Vec<_> = before.entries.into_iter().filter(|(e, _)| !changed(&e.server)).collect();
-        entries.extend(self.entries.into_iter().filter(|(e, _)| e.state != EndpointState::Removed));
-        ListUpdate { whole: true, entries }
-    }
-}
-
-/// A list in the module's terms. One entry that makes no sense does not cost the others.
-pub fn update_of(list: List, driver: &Driver) -> ListUpdate {
-    let entry = |value: &Value| {
-        let entry = entry(value, |zone| driver.config.names.zone(zone).ok());
-        if entry.is_none() {
-            driver.log("discovery: an entry that makes no sense was passed over");
-        }
-        entry
-    };
-    ListUpdate { whole: list.full, entries: list.servers.iter().filter_map(entry).collect() }
-}
-
-/// One server. The module's clock counts Unix time, so that starts need no conversion. A figure that cannot be read
-/// is one that is not told; without its name or state an entry says nothing, nor does a server that takes requests
-/// nobody knows where. That one leaves is heard in any case.
-fn entry(value: &Value, zone: impl Fn(&str) -> Option<u32>) -> Option<(Endpoint, SocketAddr)> {
-    let text = |name: &str| value.get(name).and_then(Value::as_str);
-    let figure = |name: &str| value.get(name).and_then(Value::as_f64);
-    let condition = match text("state")? {
-        "active" => EndpointState::Serving,
-        "left" => EndpointState::Removed,
-        _ => EndpointState::Draining,
-    };
-    let addr = match text("addr").and_then(|a| a.parse().ok()) {
-        None if condition != EndpointState::Serving => SocketAddr::from(([0, 0, 0, 0], 0)),
-        addr => addr?,
-    };
-    let entry = Endpoint {
-        server: text("id")?.into(),
-        // A zone that the settings do not name is no limiter's own.
-        zone: text("zone").and_then(zone).unwrap_or(u32::MAX),
-        cell: value.get("cell").and_then(Value::as_u64).and_then(|c| u32::try_from(c).ok()).unwrap_or(0),
-        state: condition,
-        weight: figure("weight").unwrap_or(1.0),
-        started_at: figure("started_ms").unwrap_or(0.0),
-    };
-    Some((entry, addr))
-}
-
 /// Where discovery is. A reload may name another place; each place is a source with a number of its own.
 pub struct Sources {
     addr: Cell<SocketAddr>,
@@ -174,16 +104,15 @@
 /// Watches for ever where the configuration says. After a reload the old watch goes on beside the new one
 /// until that has told its list: what the old place tells meanwhile is not lost, and what it tells later is
 /// not heard.
-pub async fn watch(driver: Rc<Driver>) {
-    let mut version = driver.config.known.as_ref().map(|known| known.version);
+pub async fn watch(engine: Rc<Engine>, sources: Rc<Sources>) {
+    let mut version = engine.config().known_endpoints.as_ref().map(|known| known.version);
     let mut newest = None;
     loop {
-        let sources = &driver.sources;
         let number = sources.newest.get();
         // A turn that came before the first watch has left its word behind: one source, one watch.
         if newest.replace(number) != Some(number) {
             let source = Source { addr: sources.addr.get(), number, version: version.take() };
-            tokio::task::spawn_local(keep(driver.clone(), source));
+            tokio::task::spawn_local(keep(engine.clone(), sources.clone(), source));
         }
         sources.turned.notified().await;
     }
@@ -227,21 +156,21 @@
 
 /// Keeps one source watched; a watch that ends, breaks or falls silent is begun anew from the last version,
 /// unless there is a newer source by then.
-async fn keep(driver: Rc<Driver>, mut source: Source) {
-    let seed = driver.config.seed ^ u64::from(source.number);
-    let policy = CallPolicy::of(&driver.config.settings);
+async fn keep(engine: Rc<Engine>, sources: Rc<Sources>, mut source: Source) {
+    let seed = engine.config().seed ^ u64::from(source.number);
+    let policy = CallPolicy::of(&engine.config().settings);
     let mut back_off = BackOff::new(policy, seed);
     let mut last = None;
     loop {
         let (before, began) = (source.version, Instant::now());
         let (why, answered) = match call(policy, &source).await {
-            Ok((_task, body)) => (read(&driver, body, &mut source).await, true),
+            Ok((_task, body)) => (read(&engine, &sources, body, &mut source).await, true),
             Err(why) => (why, false),
         };
-        if driver.sources.newest.get() != source.number {
-            return driver.log(&format!("discovery: {why:?}; {} is watched no more", source.addr));
+        if sources.newest.get() != source.number {
+            return engine.log(&format!("discovery: {why:?}; {} is no longer watched", source.addr));
         }
-        driver.event(Event::WatchFailed);
+        engine.handle_event(Event::WatchFailed);
         let told = source.version != before;
         let again = matches!(why, End::Bad(_)) && !told;
         let took = began.elapsed();
@@ -251,7 +180,7 @@
         let wait = if policy.at_once && why == End::Silent { Duration::ZERO } else { wait };
         // One that fails in the same way many times a second is told of once.
         if told || last.as_ref() != Some(&why) {
-            driver.log(&format!("discovery: {why:?}; watching again"));
+            engine.log(&format!("discovery: {why:?}; watching again"));
         }
         last = Some(why);
         tokio::time::sleep(wait).await;
@@ -298,7 +227,7 @@
 }
 
 /// Reads what a watch tells. A keep-alive within a list that goes no further is no sign of life.
-async fn read(driver: &Rc<Driver>, mut body: Incoming, source: &mut Source) -> End {
+async fn read(engine: &Rc<Engine>, sources: &Sources, mut body: Incoming, source: &mut Source) -> End {
     let mut objects = Objects::default();
     let mut heard = false;
     let mut end = Instant::now() + SILENCE;
@@ -309,22 +238,24 @@
             Ok(Some(Err(e))) => return End::Broken(e.to_string()),
             Ok(Some(Ok(frame))) => frame,
         };
-        if driver.sources.told.get() > source.number {
-            return End::Broken("another source speaks".to_string());
+        if sources.told.get() > source.number {
+            return End::Broken("superseded by a newer source".to_string());
         }
         let Some(data) = frame.data_ref() else { continue };
         objects.push(data);
         loop {
             let list = match objects.next() {
-                Ok(Some(object)) => serde_json::from_slice::<List>(&object).map_err(|e| e.to_string()),
+                Ok(Some(object)) => {
+                    serde_json::from_slice::<EndpointList>(&object).map_err(|e| e.to_string())
+                }
                 Ok(None) => break,
                 Err(why) => Err(why.to_string()),
             };
             match list {
                 Ok(list) => {
                     source.version = Some(list.version);
-                    driver.sources.told.set(source.number);
-                    driver.servers(update_of(list, driver));
+                    sources.told.set(source.number);
+                    engine.update_endpoints(list.resolve(&engine.config().names));
                     end = Instant::now() + SILENCE;
                 }
                 // What it held is missing from now on: the watch begins anew where it was still whole.
@@ -335,7 +266,7 @@
             end = Instant::now() + SILENCE;
             // Nothing has changed: that is a word of discovery, too.
             if !std::mem::replace(&mut heard, true) {
-                driver.event(Event::EndpointsChanged { complete: false, endpoints: [].into() });
+                engine.handle_event(Event::EndpointsChanged { complete: false, endpoints: [].into() });
             }
         }
     }
--- /dev/null
+++ b/limiter/src/engine/mod.rs
@@ -0,0 +1,411 @@
+//! Owns the one [`Limiter`] with its clock, timers and pending requests, and is the only caller of its `handle`.
+//!
+//! The front end submits requests and the discovery client endpoint updates; the engine hands attempts and gossip out
+//! through the traits [`Upstream`] and [`GossipTransport`], and names neither implementation.
+
+mod clock;
+mod endpoint_table;
+mod pending;
+mod timer_queue;
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use limiter_core::{Action, Event, Limiter, Millis, Outcome, Request, RequestId, ServerId, SettingsError};
+use tokio::sync::{oneshot, Notify};
+
+use crate::attempt::{AttemptId, AttemptJob, AttemptResult};
+use crate::config::Config;
+use crate::endpoints::EndpointUpdate;
+use crate::log::Logger;
+use crate::request::{FinalResponse, ForwardedRequest};
+use clock::Clock;
+use endpoint_table::EndpointTable;
+use pending::PendingRequests;
+use timer_queue::{NextTimer, TimerKind, TimerQueue};
+
+/// Makes attempts at servers.
+pub trait Upstream {
+    /// Starts an attempt without waiting for it; its end is reported by [`Engine::attempt_ended`]. When `cancelled`
+    /// yields an outcome, the connection is closed first and the attempt then ends with that.
+    fn start_attempt(&self, engine: &Rc<Engine>, job: AttemptJob, cancelled: oneshot::Receiver<Outcome>);
+
+    /// Closes the idle connections to a server.
+    fn close_idle(&self, server: &ServerId);
+}
+
+/// Carries gossip to other limiters.
+pub trait GossipTransport {
+    /// Sends a message to the limiter of a position; it may be lost.
+    fn send(&self, to: u32, body: &[u8]);
+}
+
+/// The endpoint list of the configuration counts as current after this long without word from discovery.
+const DISCOVERY_PATIENCE_MS: Millis = 2000.0;
+/// The same where lists are pushed: an agent on this machine answers at once, unless it knows nothing.
+const PUSHED_DISCOVERY_PATIENCE_MS: Millis = 500.0;
+/// A new process is ready by then, whatever discovery or the list of the configuration says: a fleet that has been
+/// restarted while discovery is down has to answer its clients, if only with advice on when to retry.
+const MAX_STARTUP_MS: Millis = 5000.0;
+
+/// The limiter with all that surrounds it; one thread, so that nothing is locked.
+pub struct Engine {
+    config: Config,
+    clock: Clock,
+    log: Logger,
+    upstream: Box<dyn Upstream>,
+    gossip: Box<dyn GossipTransport>,
+    /// Discovery has announced something to this process.
+    discovery_heard: Cell<bool>,
+    /// The endpoint list of the configuration, until discovery has announced what has changed or has had its chance.
+    configured_list: Cell<Option<EndpointUpdate>>,
+    shutting_down: Cell<bool>,
+    state: RefCell<State>,
+    timers_changed: Notify,
+}
+
+/// What changes with each event.
+struct State {
+    limiter: Limiter,
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+    timers: TimerQueue,
+    pending: PendingRequests,
+    endpoints: EndpointTable,
+}
+
+/// A request with the same correlation id is pending: two at the servers could not be told apart.
+#[derive(Debug)]
+pub struct DuplicateRequest;
+
+/// A submitted request. Dropping it before its response tells the decisions that the client has disconnected.
+pub struct PendingResponse {
+    engine: Rc<Engine>,
+    id: RequestId,
+    response: oneshot::Receiver<FinalResponse>,
+}
+
+impl PendingResponse {
+    /// Waits for the final response.
+    pub async fn wait(mut self) -> FinalResponse {
+        (&mut self.response).await.unwrap_or(FinalResponse::Failed)
+    }
+}
+
+impl Drop for PendingResponse {
+    fn drop(&mut self) {
+        self.engine.client_disconnected(self.id);
+    }
+}
+
+impl Engine {
+    /// An engine that knows the endpoint list of its configuration.
+    ///
+    /// # Errors
+    /// The first of the settings that cannot be served.
+    pub fn new(
+        config: Config,
+        upstream: Box<dyn Upstream>,
+        gossip: Box<dyn GossipTransport>,
+    ) -> Result<Rc<Engine>, SettingsError> {
+        let clock = Clock::start();
+        let limiter = Limiter::new(config.settings.clone(), config.seed, clock.now())?;
+        let state = State {
+            limiter,
+            events: VecDeque::new(),
+            actions: Vec::new(),
+            timers: TimerQueue::new(),
+            pending: PendingRequests::default(),
+            endpoints: EndpointTable::default(),
+        };
+        let engine = Rc::new(Engine {
+            clock,
+            log: Logger::new(config.name.clone()),
+            upstream,
+            gossip,
+            discovery_heard: Cell::new(false),
+            configured_list: Cell::new(None),
+            shutting_down: Cell::new(false),
+            state: RefCell::new(state),
+            timers_changed: Notify::new(),
+            config,
+        });
+        engine.take_configured_list();
+        Ok(engine)
+    }
+
+    /// What an agent on this machine has counts as announced from the first moment: until it is heard, nothing may be
+    /// sent by an older list. Where lists are asked for, the list counts at once.
+    fn take_configured_list(self: &Rc<Self>) {
+        let Some(list) = &self.config.known_endpoints else { return };
+        let list = EndpointUpdate { complete: true, ..list.resolve(&self.config.names) };
+        if self.config.settings.must_subscribe {
+            self.apply_update(list);
+            self.handle_event(Event::WatchFailed);
+        } else {
+            self.configured_list.set(Some(list));
+        }
+    }
+
+    /// Takes the endpoint list of the configuration for current, if discovery announces nothing in time.
+    pub async fn use_configured_list_after_patience(self: Rc<Self>) {
+        tokio::time::sleep(Duration::from_secs_f64(self.discovery_patience_ms() / 1000.0)).await;
+        if let Some(list) = self.configured_list.take() {
+            self.log("discovery has announced nothing: using the endpoint list of the configuration");
+            self.apply_update(list);
+        }
+    }
+
+    fn discovery_patience_ms(&self) -> Millis {
+        if self.config.settings.must_subscribe {
+            DISCOVERY_PATIENCE_MS
+        } else {
+            PUSHED_DISCOVERY_PATIENCE_MS
+        }
+    }
+
+    /// The configuration of the start.
+    pub fn config(&self) -> &Config {
+        &self.config
+    }
+
+    /// Writes one line for the operators.
+    pub fn log(&self, line: &str) {
+        self.log.line(line);
+    }
+
+    /// The present moment of the decisions' clock.
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// Whether a request could be served: a server takes requests, discovery has been heard or has had its chance, and
+    /// the decisions are ready to admit. Without any server the limiter is ready after a while all the same.
+    pub fn is_ready(&self) -> bool {
+        let age_ms = self.clock.age_ms();
+        let heard = self.discovery_heard.get() || age_ms > self.discovery_patience_ms();
+        let state = self.state.borrow();
+        let can_serve = state.endpoints.any_serving() && state.limiter.is_ready(self.now());
+        let waited = !state.endpoints.had_serving() && age_ms > MAX_STARTUP_MS;
+        !self.shutting_down.get() && (waited || (heard && can_serve))
+    }
+
+    /// Where a server listens, if it takes requests at this moment.
+    pub fn serving_address(&self, server: &ServerId) -> Option<SocketAddr> {
+        self.state.borrow().endpoints.serving_address(server)
+    }
+
+    /// Whether a request still waits for its final response.
+    pub fn is_pending(&self, id: RequestId) -> bool {
+        self.state.borrow().pending.contains(id)
+    }
+
+    /// Takes one event in and does what the decisions answer.
+    pub fn handle_event(self: &Rc<Self>, event: Event) {
+        let mut state = self.state.borrow_mut();
+        self.dispatch_event(&mut state, event);
+    }
+
+    /// Takes an announcement of discovery in.
+    pub fn update_endpoints(self: &Rc<Self>, update: EndpointUpdate) {
+        self.discovery_heard.set(true);
+        let update = match self.configured_list.take() {
+            Some(earlier) => update.applied_to(earlier),
+            None => update,
+        };
+        self.apply_update(update);
+    }
+
+    fn apply_update(self: &Rc<Self>, update: EndpointUpdate) {
+        for _ in 0..update.invalid_entries {
+            self.log("discovery: ignored an entry of the endpoint list that cannot be read");
+        }
+        let mut state = self.state.borrow_mut();
+        state.endpoints.apply(&update, self.upstream.as_ref(), &self.log);
+        let endpoints = update.endpoints.into_iter().map(|resolved| resolved.endpoint).collect();
+        self.dispatch_event(&mut state, Event::EndpointsChanged { complete: update.complete, endpoints });
+    }
+
+    /// Submits a client's request that has arrived completely.
+    ///
+    /// # Errors
+    /// [`DuplicateRequest`] if one with the same correlation id is pending.
+    pub fn submit(
+        self: &Rc<Self>,
+        content: ForwardedRequest,
+        request: Request,
+    ) -> Result<PendingResponse, DuplicateRequest> {
+        let mut state = self.state.borrow_mut();
+        let deadline = self.now() + request.timeout_ms;
+        let (id, response) = state.pending.insert(content, deadline).ok_or(DuplicateRequest)?;
+        self.set_timer(&mut state, deadline, TimerKind::Deadline(id));
+        self.dispatch_event(&mut state, Event::RequestArrived(Request { id, ..request }));
+        Ok(PendingResponse { engine: self.clone(), id, response })
+    }
+
+    fn client_disconnected(self: &Rc<Self>, id: RequestId) {
+        let mut state = self.state.borrow_mut();
+        if state.pending.remove(id) {
+            self.dispatch_event(&mut state, Event::ClientDisconnected { id });
+        }
+    }
+
+    /// Begins the shutdown: no more clients are asked for, and every request is answered in time.
+    pub fn start_shutdown(self: &Rc<Self>) {
+        self.shutting_down.set(true);
+        let deadline = self.now() + self.config.shutdown_response_ms;
+        self.handle_event(Event::ShutdownStarted { deadline });
+    }
+
+    /// An attempt has ended; its connection is closed or back in the pool by now. A response in time goes to the
+    /// client; one for a request that has finished is dropped, yet the decisions take its outcome in.
+    pub fn attempt_ended(self: &Rc<Self>, id: AttemptId, result: AttemptResult) {
+        let mut state = self.state.borrow_mut();
+        let Some(started_at) = state.pending.attempt_ended(id) else { return };
+        let mut finished = !state.pending.contains(id.request);
+        if result.outcome == Outcome::Ok {
+            state.pending.respond(id.request, FinalResponse::Served(result.body.unwrap_or_default()));
+            finished = true;
+        }
+        let event = Event::AttemptEnded {
+            id: id.request,
+            attempt: id.number,
+            outcome: result.outcome,
+            elapsed_ms: self.now() - started_at,
+            finished,
+            actual_units: result.actual_units,
+        };
+        self.dispatch_event(&mut state, event);
+    }
+
+    /// Takes in an event and those that its actions lead to.
+    fn dispatch_event(self: &Rc<Self>, state: &mut State, event: Event) {
+        state.events.push_back(event);
+        while let Some(event) = state.events.pop_front() {
+            let mut actions = std::mem::take(&mut state.actions);
+            state.limiter.handle(self.now(), event, &mut actions);
+            for action in actions.drain(..) {
+                self.apply_action(state, action);
+            }
+            state.actions = actions;
+        }
+        let State { limiter, timers, pending, .. } = state;
+        let is_live = |kind| match kind {
+            TimerKind::Decision(token) => limiter.is_live(token),
+            TimerKind::AttemptTimeout(id) => pending.is_in_flight(id),
+            TimerKind::Deadline(id) => pending.contains(id),
+        };
+        if timers.drop_stale(is_live) {
+            self.timers_changed.notify_one();
+        }
+    }
+
+    fn apply_action(self: &Rc<Self>, state: &mut State, action: Action) {
+        match action {
+            Action::Forward { id, server, begin_within_ms } => {
+                self.start_attempt(state, id, server, begin_within_ms);
+            }
+            Action::CancelAttempt { id, attempt } => {
+                state.pending.cancel_attempt(AttemptId { request: id, number: attempt }, Outcome::Cancelled);
+            }
+            Action::Reject { id, retry_after_ms } => {
+                state.pending.respond(id, FinalResponse::Rejected { retry_after_ms });
+            }
+            Action::Fail { id } => {
+                state.pending.respond(id, FinalResponse::Failed);
+            }
+            Action::SetTimer { after_ms, token } => {
+                self.set_timer(state, self.now() + after_ms.max(0.0), TimerKind::Decision(token));
+            }
+            Action::SendGossip { to, body } => self.gossip.send(to, &body),
+            // The watch is always kept.
+            Action::SubscribeToEndpoints => {}
+            Action::LogEjection(ejection) => self.log(&ejection.to_string()),
+        }
+    }
+
+    fn start_attempt(
+        self: &Rc<Self>,
+        state: &mut State,
+        id: RequestId,
+        server: ServerId,
+        begin_within_ms: Millis,
+    ) {
+        let Some(attempt) = state.pending.next_attempt(id) else { return };
+        let now = self.now();
+        if attempt.beside_another {
+            self.log(&format!("request {id}: a second attempt beside the first was not sent"));
+        }
+        if attempt.beside_another || state.endpoints.serving_address(&server).is_none() {
+            state.events.push_back(Event::AttemptEnded {
+                id,
+                attempt: attempt.id.number,
+                outcome: Outcome::NotSent,
+                elapsed_ms: 0.0,
+                finished: false,
+                actual_units: None,
+            });
+            return;
+        }
+        let cancelled = state.pending.attempt_started(attempt.id, now);
+        self.set_timer(state, attempt.deadline, TimerKind::AttemptTimeout(attempt.id));
+        let job = AttemptJob {
+            id: attempt.id,
+            server,
+            request: attempt.content,
+            deadline: attempt.deadline,
+            begin_by: now + begin_within_ms,
+        };
+        self.upstream.start_attempt(self, job, cancelled);
+    }
+
+    fn set_timer(&self, state: &mut State, at: Millis, kind: TimerKind) {
+        if state.timers.insert(at, kind) {
+            self.timers_changed.notify_one();
+        }
+    }
+
+    /// Fires timers when they are due, for ever.
+    pub async fn run_timers(self: Rc<Self>) {
+        loop {
+            let next = self.fire_due_timers();
+            let changed = self.timers_changed.notified();
+            match next {
+                Some(at) => tokio::select! {
+                    () = tokio::time::sleep_until(self.clock.instant(at).into()) => {}
+                    () = changed => {}
+                },
+                None => changed.await,
+            }
+        }
+    }
+
+    /// Fires what is due; the moment of the next timer.
+    fn fire_due_timers(self: &Rc<Self>) -> Option<Millis> {
+        let mut state = self.state.borrow_mut();
+        loop {
+            match state.timers.next(self.now()) {
+                NextTimer::Due(kind) => self.fire(&mut state, kind),
+                NextTimer::At(at) => return Some(at),
+                NextTimer::None => return None,
+            }
+        }
+    }
+
+    fn fire(self: &Rc<Self>, state: &mut State, kind: TimerKind) {
+        match kind {
+            TimerKind::Decision(token) => self.dispatch_event(state, Event::TimerFired { token }),
+            TimerKind::AttemptTimeout(id) => state.pending.cancel_attempt(id, Outcome::TimedOut),
+            // A backstop: the decisions end their requests before this. Nothing is sent after it.
+            TimerKind::Deadline(id) => {
+                if state.pending.respond(id, FinalResponse::Failed) {
+                    self.log(&format!("request {id}: failed at its deadline"));
+                    self.dispatch_event(state, Event::ClientDisconnected { id });
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/limiter/src/engine/pending.rs
@@ -0,0 +1,133 @@
+//! Requests that wait for their final response, and their attempts in flight.
+
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+
+use hyper::header::HeaderValue;
+use limiter_core::{Millis, Outcome, RequestId};
+use tokio::sync::oneshot;
+
+use crate::attempt::AttemptId;
+use crate::request::{FinalResponse, ForwardedRequest};
+
+/// A request that waits for its final response.
+struct PendingRequest {
+    content: Rc<ForwardedRequest>,
+    response: oneshot::Sender<FinalResponse>,
+    deadline: Millis,
+    /// Attempts begun so far.
+    attempts: u32,
+    has_attempt_in_flight: bool,
+}
+
+struct InFlightAttempt {
+    started_at: Millis,
+    cancel: oneshot::Sender<Outcome>,
+}
+
+/// An attempt that may be made.
+pub struct NewAttempt {
+    /// Which.
+    pub id: AttemptId,
+    /// What is forwarded.
+    pub content: Rc<ForwardedRequest>,
+    /// When the client gives up.
+    pub deadline: Millis,
+    /// Another attempt of the same request is in flight: this one must not be made.
+    pub beside_another: bool,
+}
+
+/// All requests that wait, by id and by correlation id.
+#[derive(Default)]
+pub struct PendingRequests {
+    requests: HashMap<RequestId, PendingRequest>,
+    correlation_ids: HashSet<HeaderValue>,
+    in_flight: HashMap<AttemptId, InFlightAttempt>,
+    next_id: RequestId,
+}
+
+impl PendingRequests {
+    /// Adds a request; nothing if one with the same correlation id is pending.
+    pub fn insert(
+        &mut self,
+        content: ForwardedRequest,
+        deadline: Millis,
+    ) -> Option<(RequestId, oneshot::Receiver<FinalResponse>)> {
+        if !self.correlation_ids.insert(content.correlation_id.clone()) {
+            return None;
+        }
+        let id = self.next_id;
+        self.next_id = self.next_id.wrapping_add(1);
+        let (response, receiver) = oneshot::channel();
+        let content = Rc::new(content);
+        let pending =
+            PendingRequest { content, response, deadline, attempts: 0, has_attempt_in_flight: false };
+        self.requests.insert(id, pending);
+        Some((id, receiver))
+    }
+
+    /// Whether a request still waits for its final response.
+    pub fn contains(&self, id: RequestId) -> bool {
+        self.requests.contains_key(&id)
+    }
+
+    /// Forgets a request; false if it was not pending.
+    pub fn remove(&mut self, id: RequestId) -> bool {
+        self.take(id).is_some()
+    }
+
+    /// Gives a request its one final response; false if it was not pending. A client that has disconnected meanwhile
+    /// gets none.
+    pub fn respond(&mut self, id: RequestId, response: FinalResponse) -> bool {
+        let Some(pending) = self.take(id) else { return false };
+        let _ = pending.response.send(response);
+        true
+    }
+
+    fn take(&mut self, id: RequestId) -> Option<PendingRequest> {
+        let pending = self.requests.remove(&id)?;
+        self.correlation_ids.remove(&pending.content.correlation_id);
+        Some(pending)
+    }
+
+    /// Counts one more attempt of a request.
+    pub fn next_attempt(&mut self, request: RequestId) -> Option<NewAttempt> {
+        let pending = self.requests.get_mut(&request)?;
+        let id = AttemptId { request, number: pending.attempts };
+        pending.attempts += 1;
+        let (content, deadline) = (pending.content.clone(), pending.deadline);
+        Some(NewAttempt { id, content, deadline, beside_another: pending.has_attempt_in_flight })
+    }
+
+    /// Counts an attempt as in flight; what the receiver gets tells how it is cancelled.
+    pub fn attempt_started(&mut self, id: AttemptId, now: Millis) -> oneshot::Receiver<Outcome> {
+        if let Some(pending) = self.requests.get_mut(&id.request) {
+            pending.has_attempt_in_flight = true;
+        }
+        let (cancel, cancelled) = oneshot::channel();
+        self.in_flight.insert(id, InFlightAttempt { started_at: now, cancel });
+        cancelled
+    }
+
+    /// Takes an attempt out of those in flight: when it was started.
+    pub fn attempt_ended(&mut self, id: AttemptId) -> Option<Millis> {
+        let attempt = self.in_flight.remove(&id)?;
+        if let Some(pending) = self.requests.get_mut(&id.request) {
+            pending.has_attempt_in_flight = false;
+        }
+        Some(attempt.started_at)
+    }
+
+    /// Whether an attempt is in flight.
+    pub fn is_in_flight(&self, id: AttemptId) -> bool {
+        self.in_flight.contains_key(&id)
+    }
+
+    /// Tells an attempt to close its connection and then to end with this outcome.
+    pub fn cancel_attempt(&mut self, id: AttemptId, outcome: Outcome) {
+        if let Some(attempt) = self.in_flight.get_mut(&id) {
+            let (used, _) = oneshot::channel();
+            let _ = std::mem::replace(&mut attempt.cancel, used).send(outcome);
+        }
+    }
+}
--- a/limiter/src/clients.rs
+++ b/limiter/src/frontend/mod.rs
@@ -18,26 +18,21 @@
 use hyper::service::service_fn;
 use hyper::{Method, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use limiter_core::{Idempotency, Request, RequestId};
+use limiter_core::{Idempotency, Request};
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::{timeout, timeout_at, Instant};
 
-use crate::driver::{Answer, Content, Driver};
+use crate::engine::Engine;
+use crate::request::{
+    FinalResponse, ForwardedRequest, CORRELATION_ID, IDEMPOTENCY_KEY, MAX_BODY_BYTES, TIME_LEFT,
+};
 
-/// Names the request.
-pub const CORRELATION: HeaderName = HeaderName::from_static("x-correlation-id");
-/// Marks repeats of one effect.
-pub const KEY: HeaderName = HeaderName::from_static("idempotency-key");
-/// Seconds that the sender will wait.
-pub const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left");
 const PLAN: HeaderName = HeaderName::from_static("x-tariff");
 const WEIGHT: HeaderName = HeaderName::from_static("x-weight");
 
-/// Longest body taken in, of a request or an answer.
-pub const MOST_BODY: usize = 64 << 10;
 /// Longest head of a request.
 const MOST_HEAD: usize = 16 << 10;
 /// A client that has sent a part of a request, or has connected and said nothing, is cut off after this time
@@ -295,7 +290,7 @@
 
 /// Lets everything that has come be read. After a stall (no CPU for a while) the timers go first: a wait for I/O that a
 /// stop broke off tells of no events, and tokio tries no read or accept before an event has told of it. Each yield of
-/// this runs the I/O driver once and no more than 61 of the tasks that were woken, hence the number.
+/// this runs the I/O engine once and no more than 61 of the tasks that were woken, hence the number.
 async fn read_all_that_came(clients: &Clients) {
     let turns = 4 + clients.all.borrow().len() / 16;
     for _ in 0..turns {
@@ -307,12 +302,12 @@
 /// shutdown of the connections, the close of the listener, the return. Each counts from the moment at which the one
 /// before it was really taken, not from the signal: in a process that stalled across them all would else go at once,
 /// and what came meanwhile would be lost.
-pub async fn serve(driver: &Rc<Driver>, listener: TcpListener, stop: impl Future<Output = &'static str>) {
+pub async fn serve(engine: &Rc<Engine>, listener: TcpListener, stop: impl Future<Output = &'static str>) {
     let clients = Rc::new(Clients::default());
     let sweeping = clients.clone();
     tokio::task::spawn_local(async move { sweeping.sweep().await });
     // After SIGTERM clients go on using the connections they have: these are served for as long as there is time.
-    let serving = Duration::from_secs_f64(driver.config.drain_ms / 1000.0);
+    let serving = Duration::from_secs_f64(engine.config().shutdown_accept_ms / 1000.0);
     let mut listener = Some(listener);
     let mut number = 0u64;
     let mut failing = false;
@@ -322,7 +317,7 @@
     let mut refusing: Option<Instant> = None;
     let over = |since: Option<Instant>, time| since.is_some_and(|at| at.elapsed() >= time);
     loop {
-        let room = clients.all.borrow().len() < driver.config.most_clients;
+        let room = clients.all.borrow().len() < engine.config().max_client_connections;
         if !room {
             clients.evict();
         }
@@ -334,10 +329,10 @@
         }
         if let Some(listener) = listener.take_if(|_| over(shut_down, RESENT)) {
             // What waits in the accept queue has been taken, perhaps with a request.
-            for _ in 0..driver.config.most_clients {
+            for _ in 0..engine.config().max_client_connections {
                 let Some(stream) = next_in_accept_queue(&listener).await else { break };
                 number += 1;
-                open(driver, &clients, number, stream);
+                open(engine, &clients, number, stream);
             }
             drop(listener);
             refusing = Some(Instant::now());
@@ -362,22 +357,22 @@
                 Ok((stream, _)) => {
                     number += 1;
                     failing = false;
-                    open(driver, &clients, number, stream);
+                    open(engine, &clients, number, stream);
                 }
                 // Out of descriptors, or the client has gone already: an idle connection makes way, and what
                 // waits to be accepted is taken a little later.
                 Err(e) => {
                     if !std::mem::replace(&mut failing, true) {
-                        driver.log(&format!("accept: {e}"));
+                        engine.log(&format!("accept failed: {e}"));
                     }
                     clients.evict();
                     tokio::time::sleep(Duration::from_millis(10)).await;
                 }
             },
             why = &mut stop, if stopped.is_none() => {
-                driver.log(&format!("{why}: finishing"));
+                engine.log(&format!("{why}: shutting down"));
                 stopped = Some(Instant::now());
-                driver.ending();
+                engine.start_shutdown();
             }
             () = clients.closed.notified() => {}
             () = tokio::time::sleep(TICK), if tick => {}
@@ -386,7 +381,7 @@
 }
 
 /// A connection of the accept queue, if there is one. Nothing is tried while tokio does not know that there is, or has
-/// let this task work for long enough (128 accepts in a row): then it looks once more, after a turn of the I/O driver.
+/// let this task work for long enough (128 accepts in a row): then it looks once more, after a turn of the I/O engine.
 async fn next_in_accept_queue(listener: &TcpListener) -> Option<TcpStream> {
     let mut looks = 0;
     loop {
@@ -399,25 +394,25 @@
     }
 }
 
-fn open(driver: &Rc<Driver>, clients: &Rc<Clients>, number: u64, stream: TcpStream) {
+fn open(engine: &Rc<Engine>, clients: &Rc<Clients>, number: u64, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
     let client = Rc::new(Client::new());
     clients.all.borrow_mut().insert(number, client.clone());
-    let (driver, clients) = (driver.clone(), clients.clone());
+    let (engine, clients) = (engine.clone(), clients.clone());
     tokio::task::spawn_local(async move {
-        connection(&driver, &clients, &client, stream).await;
+        connection(&engine, &clients, &client, stream).await;
         clients.all.borrow_mut().remove(&number);
         clients.closed.notify_one();
     });
 }
 
-async fn connection(driver: &Rc<Driver>, clients: &Rc<Clients>, client: &Rc<Client>, stream: TcpStream) {
+async fn connection(engine: &Rc<Engine>, clients: &Rc<Clients>, client: &Rc<Client>, stream: TcpStream) {
     let service = service_fn(|request| {
-        let (driver, clients, client) = (driver.clone(), clients.clone(), client.clone());
+        let (engine, clients, client) = (engine.clone(), clients.clone(), client.clone());
         async move {
             client.busy.set(true);
             client.reading.set(true);
-            let mut answer = respond(&driver, &client, request).await;
+            let mut answer = respond(&engine, &client, request).await;
             if clients.closing.get() || client.overrun.get() {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
@@ -440,7 +435,7 @@
             biased;
             // An error here is the client's: it left, or sent what is no HTTP.
             _ = &mut serving => return,
-            // A request that came before this is taken first: after a stall that may need a turn of the I/O driver.
+            // A request that came before this is taken first: after a stall that may need a turn of the I/O engine.
             // Then the connection stays; a word to cut that is lost to another branch comes again.
             () = async { client.cut.notified().await; tokio::task::yield_now().await } => {
                 if client.may_be_cut() { return }
@@ -454,31 +449,19 @@
     }
 }
 
-/// Tells the module that a client has gone, when its connection ends before the answer.
-struct Waiting<'a> {
-    driver: &'a Rc<Driver>,
-    id: RequestId,
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        self.driver.client_gone(self.id);
-    }
-}
-
 async fn respond(
-    driver: &Rc<Driver>,
+    engine: &Rc<Engine>,
     client: &Client,
     request: hyper::Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     // What comes from here on, but for this request's body, belongs to the next one.
     let begun = client.begun.take().unwrap_or_else(Instant::now);
     if request.uri().path() == "/-/ready" {
-        let status = if driver.ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        let status = if engine.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         return plain(status, "");
     }
     let (head, body) = request.into_parts();
-    let read = match read(driver, &head) {
+    let read = match read(engine, &head) {
         Ok(read) => read,
         Err((status, why)) => return bad(status, why),
     };
@@ -492,25 +475,23 @@
     if head.method == Method::GET && !body.is_empty() {
         return bad(StatusCode::BAD_REQUEST, "a GET has no body");
     }
-    let content = Content {
+    let content = ForwardedRequest {
         method: head.method,
         target: read.target,
-        correlation: read.correlation,
-        key: read.key,
+        correlation_id: read.correlation,
+        idempotency_key: read.key,
         body,
     };
-    let Some((id, answered)) = driver.request(content, read.request) else {
+    let Ok(pending) = engine.submit(content, read.request) else {
         return bad(StatusCode::CONFLICT, "a request with this X-Correlation-Id is open");
     };
-    let waiting = Waiting { driver, id };
     client.waiting.set(true);
     client.looked.set(false);
-    let answer = answered.await;
+    let answer = pending.wait().await;
     client.waiting.set(false);
-    drop(waiting);
     match answer {
-        Ok(Answer::Served(body)) => Response::new(Full::new(body)),
-        Ok(Answer::Refused(retry_after_ms)) => {
+        FinalResponse::Served(body) => Response::new(Full::new(body)),
+        FinalResponse::Rejected { retry_after_ms } => {
             let mut answer = plain(StatusCode::TOO_MANY_REQUESTS, "");
             if retry_after_ms > 0.0 {
                 if let Ok(value) = HeaderValue::from_str(&format!("{:.3}", retry_after_ms / 1000.0)) {
@@ -519,7 +500,7 @@
             }
             answer
         }
-        Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, ""),
+        FinalResponse::Failed => plain(StatusCode::BAD_GATEWAY, ""),
     }
 }
 
@@ -529,7 +510,7 @@
         return Ok(Bytes::new());
     }
     let too_large = (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
-    if body.size_hint().lower() > MOST_BODY as u64 {
+    if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
         let _ = timeout(DISCARD_TIME, discard(body)).await;
         return Err(too_large);
     }
@@ -537,7 +518,7 @@
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| (StatusCode::BAD_REQUEST, "the body did not come whole"))?;
         let Some(data) = frame.data_ref() else { continue };
-        if whole.len() + data.len() > MOST_BODY {
+        if whole.len() + data.len() > MAX_BODY_BYTES {
             let _ = timeout(DISCARD_TIME, discard(body)).await;
             return Err(too_large);
         }
@@ -581,19 +562,19 @@
 type Bad = (StatusCode, &'static str);
 
 /// Reads a head whole; what is malformed or unknown reaches neither the module nor a server.
-fn read(driver: &Driver, head: &hyper::http::request::Parts) -> Result<Told, Bad> {
+fn read(engine: &Engine, head: &hyper::http::request::Parts) -> Result<Told, Bad> {
     let bad = |why| (StatusCode::BAD_REQUEST, why);
     // Guards against a request hidden in a body: hyper lets the coding win and may drop the length, another
     // reader may go by that. Clients tell the length here.
     if head.headers.contains_key(TRANSFER_ENCODING) {
         return Err((StatusCode::LENGTH_REQUIRED, "a body comes with its length"));
     }
-    let named = [CORRELATION, KEY, TIME_LEFT, PLAN, WEIGHT];
+    let named = [CORRELATION_ID, IDEMPOTENCY_KEY, TIME_LEFT, PLAN, WEIGHT];
     if named.iter().any(|name| head.headers.get_all(name).iter().nth(1).is_some()) {
         return Err(bad("a header that may come once comes twice"));
     }
-    let names = &driver.config.names;
-    let settings = &driver.config.settings;
+    let names = &engine.config().names;
+    let settings = &engine.config().settings;
     let mut parts = head.uri.path().strip_prefix('/').unwrap_or_default().split('/');
     let (Some(class), Some(customer), None) = (parts.next(), parts.next(), parts.next()) else {
         return Err((StatusCode::NOT_FOUND, "no such path"));
@@ -615,10 +596,10 @@
         .filter(|t| (0.0..=MOST_TIME_LEFT).contains(t))
         .ok_or_else(|| bad("no good X-Time-Left"))?;
     let (units, spread, first) = text(&WEIGHT)
-        .and_then(|w| weight(w, settings.limiters, driver.config.most_units))
+        .and_then(|w| weight(w, settings.limiters, engine.config().max_request_units))
         .ok_or_else(|| bad("no good X-Weight"))?;
-    let correlation = full(&head.headers, &CORRELATION).ok_or_else(|| bad("no X-Correlation-Id"))?;
-    let key = full(&head.headers, &KEY);
+    let correlation = full(&head.headers, &CORRELATION_ID).ok_or_else(|| bad("no X-Correlation-Id"))?;
+    let key = full(&head.headers, &IDEMPOTENCY_KEY);
     if effect == Idempotency::WithKey && key.is_none() {
         return Err(bad("no Idempotency-Key"));
     }
--- a/limiter/src/main.rs
+++ b/limiter/src/main.rs
@@ -1,83 +1,146 @@
-//! The real limiter: one program that puts the decisions of `limiter-core` on sockets. Start, signals, exit.
+//! The limiter: one program that puts the decisions of `limiter-core` on sockets. Start, signals, exit code.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-mod clients;
+mod attempt;
 mod config;
 mod discovery;
-mod driver;
-mod peers;
-mod servers;
+mod endpoints;
+mod engine;
+mod frontend;
+mod gossip;
+mod log;
+mod request;
+mod upstream;
 
 use std::io;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 
+use limiter_core::SettingsError;
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::runtime::{Builder, LocalOptions};
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 
 use config::Config;
-use driver::Driver;
+use discovery::Sources;
+use engine::Engine;
+use gossip::GossipSender;
+use upstream::Servers;
+
+/// Connections that may wait to be accepted, as far as the system allows. Beyond it the first packets of a connection
+/// are dropped and sent again after 1 s: a process that stalls for a moment must not cost its clients that.
+const ACCEPT_QUEUE: u32 = 1024;
+
+/// Why the limiter could not start.
+#[derive(Debug, thiserror::Error)]
+enum StartError {
+    #[error("cannot start: {0}")]
+    Runtime(io::Error),
+    #[error("{name}: {error}")]
+    Signal { name: &'static str, error: io::Error },
+    #[error("{0}")]
+    Config(String),
+    #[error("cannot listen on {address}: {error}")]
+    Listen { address: SocketAddr, error: io::Error },
+    #[error("peer_listen {address}: {error}")]
+    Gossip { address: SocketAddr, error: io::Error },
+    #[error("no address: {0}")]
+    LocalAddress(io::Error),
+    #[error("settings: {0}")]
+    Settings(#[from] SettingsError),
+}
+
+/// The signals that the limiter handles.
+struct Signals {
+    hangup: Signal,
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    fn install() -> Result<Signals, StartError> {
+        let install = |name, kind| signal(kind).map_err(|error| StartError::Signal { name, error });
+        Ok(Signals {
+            hangup: install("SIGHUP", SignalKind::hangup())?,
+            terminate: install("SIGTERM", SignalKind::terminate())?,
+            interrupt: install("SIGINT", SignalKind::interrupt())?,
+        })
+    }
+}
 
 fn main() -> ExitCode {
     let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
-    match runtime.map_err(|e| format!("cannot start: {e}")).and_then(|runtime| runtime.block_on(run())) {
+    match runtime.map_err(StartError::Runtime).and_then(|runtime| runtime.block_on(run())) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(why) => {
-            eprintln!("limiter: {why}");
+        Err(error) => {
+            eprintln!("limiter: {error}");
             ExitCode::FAILURE
         }
     }
 }
 
-/// Connections that may wait to be accepted, as far as the system allows. Beyond it the first bytes of a connection are
-/// dropped, and come again after 1 s: a process that stalls for a moment must not cost its clients that.
-const ACCEPT_QUEUE: u32 = 1024;
-
-fn listen(at: SocketAddr) -> io::Result<TcpListener> {
-    let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    socket.set_reuseaddr(true)?;
-    socket.bind(at)?;
-    socket.listen(ACCEPT_QUEUE)
+/// Serves until SIGTERM or SIGINT, then finishes what was accepted.
+async fn run() -> Result<(), StartError> {
+    // Before all else: until it is handled, a SIGHUP ends the program.
+    let signals = Signals::install()?;
+    let config = Config::from_environment().map_err(StartError::Config)?;
+    let listener = listen(config.listen)?;
+    let gossip_socket = bind_gossip(config.peer_listen).await?;
+    let servers = Servers::new(&config);
+    let sources = Rc::new(Sources::new(config.discovery));
+    let gossip = GossipSender::new(gossip_socket.clone(), config.peers.clone());
+    let engine = Engine::new(config, Box::new(servers.clone()), Box::new(gossip))?;
+    let address = listener.local_addr().map_err(StartError::LocalAddress)?;
+    engine.log(&format!("serves on {address}"));
+    if let Some(socket) = gossip_socket {
+        tokio::task::spawn_local(gossip::receive(engine.clone(), socket));
+    }
+    tokio::task::spawn_local(engine.clone().run_timers());
+    tokio::task::spawn_local(upstream::sweep(servers));
+    tokio::task::spawn_local(discovery::watch(engine.clone(), sources.clone()));
+    tokio::task::spawn_local(engine.clone().use_configured_list_after_patience());
+    tokio::task::spawn_local(reload_on_hangup(signals.hangup, engine.clone(), sources));
+    frontend::serve(&engine, listener, stop_signal(signals.terminate, signals.interrupt)).await;
+    engine.log("stops");
+    Ok(())
 }
 
-/// Serves until SIGTERM or SIGINT, then finishes what was taken.
-async fn run() -> Result<(), String> {
-    // Before all else: until it is handled, a SIGHUP ends the program.
-    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
-    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
-    let mut int = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
-    let config = Config::from_environment()?;
-    let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
-    let mail = match config.peer_listen {
-        Some(at) => Some(Rc::new(UdpSocket::bind(at).await.map_err(|e| format!("peer_listen {at}: {e}"))?)),
-        None => None,
+fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    let listen = || {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(ACCEPT_QUEUE)
     };
-    let driver = Driver::new(config, mail.clone())?;
-    let at = listener.local_addr().map_err(|e| format!("no address: {e}"))?;
-    driver.log(&format!("serves on {at}"));
-    if let Some(mail) = mail {
-        tokio::task::spawn_local(peers::listen(driver.clone(), mail));
+    listen().map_err(|error| StartError::Listen { address, error })
+}
+
+async fn bind_gossip(address: Option<SocketAddr>) -> Result<Option<Rc<UdpSocket>>, StartError> {
+    let Some(address) = address else { return Ok(None) };
+    let socket = UdpSocket::bind(address).await.map_err(|error| StartError::Gossip { address, error })?;
+    Ok(Some(Rc::new(socket)))
+}
+
+/// Waits for the signal to stop; its name.
+async fn stop_signal(mut terminate: Signal, mut interrupt: Signal) -> &'static str {
+    tokio::select! {
+        _ = terminate.recv() => "SIGTERM",
+        _ = interrupt.recv() => "SIGINT",
     }
-    tokio::task::spawn_local(driver.clone().run_timers());
-    tokio::task::spawn_local(servers::sweep(driver.clone()));
-    tokio::task::spawn_local(discovery::watch(driver.clone()));
-    tokio::task::spawn_local(driver.clone().fall_back());
-    let reloading = driver.clone();
-    tokio::task::spawn_local(async move {
-        while hangup.recv().await.is_some() {
-            reloading.reload();
-        }
-    });
-    let stop = async move {
-        tokio::select! {
-            _ = term.recv() => "SIGTERM",
-            _ = int.recv() => "SIGINT",
+}
+
+/// Reads the configuration again on each SIGHUP. Only discovery's address can change while serving; a configuration
+/// that cannot be read changes nothing.
+async fn reload_on_hangup(mut hangup: Signal, engine: Rc<Engine>, sources: Rc<Sources>) {
+    while hangup.recv().await.is_some() {
+        match Config::reloaded() {
+            Ok(new) if sources.turn_to(new.discovery) => {
+                engine.log(&format!("reload: discovery is at {} now", new.discovery));
+            }
+            Ok(_) => engine.log("reload: nothing new"),
+            Err(error) => engine.log(&format!("reload: {error}; keeping the old configuration")),
         }
-    };
-    clients::serve(&driver, listener, stop).await;
-    driver.log("stops");
-    Ok(())
+    }
 }
--- /dev/null
+++ b/limiter/src/request.rs
@@ -0,0 +1,42 @@
+//! What the client side and the server side of the program share of a request: contents, header names, bounds.
+
+use bytes::Bytes;
+use hyper::header::{HeaderName, HeaderValue};
+use limiter_core::Millis;
+
+/// Identifies a request; at most one with the same value is pending.
+pub const CORRELATION_ID: HeaderName = HeaderName::from_static("x-correlation-id");
+/// Marks the duplicates of one effect.
+pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// Seconds for which the sender will wait.
+pub const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left");
+/// Longest body taken in, of a request or a response.
+pub const MAX_BODY_BYTES: usize = 64 << 10;
+
+/// What of a client's request is forwarded to a server unchanged.
+pub struct ForwardedRequest {
+    /// `GET` or `POST`.
+    pub method: hyper::Method,
+    /// Path and query.
+    pub target: hyper::Uri,
+    /// Value of [`CORRELATION_ID`].
+    pub correlation_id: HeaderValue,
+    /// Value of [`IDEMPOTENCY_KEY`].
+    pub idempotency_key: Option<HeaderValue>,
+    /// The complete body.
+    pub body: Bytes,
+}
+
+/// The final response to a client.
+#[derive(Debug)]
+pub enum FinalResponse {
+    /// The body of a server's good response.
+    Served(Bytes),
+    /// Not served; a retry is safe.
+    Rejected {
+        /// When the client should retry; 0 for no advice.
+        retry_after_ms: Millis,
+    },
+    /// An error that promises nothing.
+    Failed,
+}
--- a/limiter/src/servers.rs
+++ b/limiter/src/upstream/mod.rs
@@ -1,6 +1,6 @@
 //! Attempts at servers and the pool of their connections.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -15,13 +15,15 @@
 use hyper::header::{HeaderMap, HeaderName};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use limiter_core::{Outcome, RequestId, ServerId};
+use limiter_core::{Outcome, ServerId};
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use crate::clients::{CORRELATION, KEY, MOST_BODY, TIME_LEFT};
-use crate::driver::{Content, Driver};
+use crate::attempt::{AttemptJob, AttemptResult};
+use crate::config::Config;
+use crate::engine::{Engine, Upstream};
+use crate::request::{CORRELATION_ID, IDEMPOTENCY_KEY, MAX_BODY_BYTES, TIME_LEFT};
 
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
 /// True units of the request, with its first good answer.
@@ -34,38 +36,6 @@
 /// then, and shows that it is of no further use.
 const SETTLE: Duration = Duration::from_millis(10);
 
-/// One attempt.
-pub struct Job {
-    /// Which request.
-    pub id: RequestId,
-    /// Which of its attempts.
-    pub attempt: u32,
-    /// Where to.
-    pub server: ServerId,
-    /// What.
-    pub content: Rc<Content>,
-    /// When it is given up, in the module's milliseconds.
-    pub end: f64,
-    /// It must not begin later than this, in the same.
-    pub begin_by: f64,
-}
-
-/// How an attempt ended.
-pub struct End {
-    /// For the module.
-    pub outcome: Outcome,
-    /// A good answer's body.
-    pub body: Option<Bytes>,
-    /// The true units that a good answer told.
-    pub units: Option<f64>,
-}
-
-impl From<Outcome> for End {
-    fn from(outcome: Outcome) -> End {
-        End { outcome, body: None, units: None }
-    }
-}
-
 /// A connection and what drives it. Nothing else does: dropping it closes the socket.
 struct Link {
     sender: SendRequest<Full<Bytes>>,
@@ -89,7 +59,7 @@
 
 /// Idle connections by server, and a bound on all that are open. Not by address: a new server at the address
 /// of one that has gone must not be sent requests on that one's connections.
-pub struct Pool {
+struct Pool {
     idle: HashMap<ServerId, Vec<Idle>>,
     idle_for: Duration,
     /// All open ones, idle or not.
@@ -99,18 +69,18 @@
 
 impl Pool {
     /// Holds at most `most` connections; drops what has been idle for `idle_ms`.
-    pub fn new(most: usize, idle_ms: f64) -> Pool {
+    fn new(most: usize, idle_ms: f64) -> Pool {
         let idle_for = Duration::from_secs_f64(idle_ms / 1000.0);
         Pool { idle: HashMap::new(), idle_for, open: Rc::default(), most }
     }
 
     /// Closes the idle connections to a server.
-    pub fn drop_idle(&mut self, server: &ServerId) {
+    fn drop_idle(&mut self, server: &ServerId) {
         self.idle.remove(server);
     }
 
     /// Closes what has been idle for long.
-    pub fn sweep(&mut self) {
+    fn sweep(&mut self) {
         let idle_for = self.idle_for;
         self.idle.retain(|_, links| {
             links.retain(|l| l.since.elapsed() < idle_for);
@@ -157,23 +127,57 @@
     }
 }
 
+/// The servers, as the engine reaches them.
+pub struct Servers {
+    pool: RefCell<Pool>,
+    connect_timeout: Duration,
+    max_request_units: f64,
+}
+
+impl Servers {
+    /// Servers reached under this configuration.
+    pub fn new(config: &Config) -> Rc<Servers> {
+        let connect_timeout_ms = config.settings.connect_timeout_ms.max(1.0);
+        Rc::new(Servers {
+            pool: RefCell::new(Pool::new(config.max_server_connections, config.server_idle_ms)),
+            connect_timeout: Duration::from_secs_f64(connect_timeout_ms / 1000.0),
+            max_request_units: config.max_request_units,
+        })
+    }
+}
+
+impl Upstream for Rc<Servers> {
+    fn start_attempt(&self, engine: &Rc<Engine>, job: AttemptJob, cancelled: oneshot::Receiver<Outcome>) {
+        tokio::task::spawn_local(attempt(self.clone(), engine.clone(), job, cancelled));
+    }
+
+    fn close_idle(&self, server: &ServerId) {
+        self.pool.borrow_mut().drop_idle(server);
+    }
+}
+
 /// Makes one attempt and reports its end. What is stopped closes its connection first: the `select` has
 /// dropped it when the module hears of the end, so that a request never has two attempts out.
-pub async fn attempt(driver: Rc<Driver>, job: Job, stopped: oneshot::Receiver<Outcome>) {
-    let end = tokio::select! {
+async fn attempt(
+    servers: Rc<Servers>,
+    engine: Rc<Engine>,
+    job: AttemptJob,
+    cancelled: oneshot::Receiver<Outcome>,
+) {
+    let result = tokio::select! {
         biased;
-        Ok(how) = stopped => how.into(),
-        end = exchange(&driver, &job) => end,
+        Ok(outcome) = cancelled => outcome.into(),
+        result = exchange(&servers, &engine, &job) => result,
     };
-    driver.ended(job.id, job.attempt, end);
+    engine.attempt_ended(job.id, result);
 }
 
-async fn exchange(driver: &Rc<Driver>, job: &Job) -> End {
-    let Some(addr) = driver.address(&job.server) else { return Outcome::NotSent.into() };
-    let pooled = driver.pool.borrow_mut().take(&job.server);
+async fn exchange(servers: &Servers, engine: &Rc<Engine>, job: &AttemptJob) -> AttemptResult {
+    let Some(addr) = engine.serving_address(&job.server) else { return Outcome::NotSent.into() };
+    let pooled = servers.pool.borrow_mut().take(&job.server);
     let mut link = match pooled {
         Some(link) => link,
-        None => match connect(driver, addr).await {
+        None => match connect(servers, engine, addr).await {
             Ok(link) => link,
             Err(outcome) => return outcome.into(),
         },
@@ -181,11 +185,11 @@
     // The wait for a connection may have outlived the server's readiness, the client's patience, or the window in which
     // servers drop repeats: nothing new goes to one that drains, nothing is sent on for one that has left, and what may
     // have run is not sent again.
-    let late = driver.now() > job.begin_by;
-    if late || driver.address(&job.server) != Some(addr) || !driver.waits(job.id) {
+    let late = engine.now() > job.begin_by;
+    if late || engine.serving_address(&job.server) != Some(addr) || !engine.is_pending(job.id.request) {
         return Outcome::NotSent.into();
     }
-    let Ok(request) = request(job, addr, job.end - driver.now()) else { return Outcome::NotSent.into() };
+    let Ok(request) = request(job, addr, job.deadline - engine.now()) else { return Outcome::NotSent.into() };
     let Link { sender, connection, .. } = &mut link;
     let answer = async {
         let answer = match sender.try_send_request(request).await {
@@ -197,14 +201,14 @@
             },
         };
         let (head, mut body) = answer.into_parts();
-        if body.size_hint().lower() > MOST_BODY as u64 {
+        if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
             return Outcome::ConnectionLost.into();
         }
         let mut whole = BytesMut::new();
         while let Some(frame) = body.frame().await {
             let Ok(frame) = frame else { return Outcome::ConnectionLost.into() };
             if let Some(data) = frame.data_ref() {
-                if whole.len() + data.len() > MOST_BODY {
+                if whole.len() + data.len() > MAX_BODY_BYTES {
                     return Outcome::ConnectionLost.into();
                 }
                 whole.extend_from_slice(data);
@@ -212,10 +216,10 @@
         }
         let unprocessed = head.headers.get(UNPROCESSED).is_some_and(|v| v == "1");
         match head.status {
-            StatusCode::OK => End {
+            StatusCode::OK => AttemptResult {
                 outcome: Outcome::Ok,
                 body: Some(whole.freeze()),
-                units: true_units(&head.headers, driver.config.most_units),
+                actual_units: true_units(&head.headers, servers.max_request_units),
             },
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => {
                 Outcome::Rejected.into()
@@ -227,8 +231,8 @@
     // Only a connection whose answer was read to its end may serve again.
     ended |= !matches!(end.outcome, Outcome::Ok | Outcome::Error | Outcome::Rejected);
     // Nor one of a server that takes nothing new by now: nobody would close it.
-    if !ended && driver.address(&job.server) == Some(addr) && link.alive() {
-        driver.pool.borrow_mut().put(&job.server, link);
+    if !ended && engine.serving_address(&job.server) == Some(addr) && link.alive() {
+        servers.pool.borrow_mut().put(&job.server, link);
     }
     end
 }
@@ -241,9 +245,9 @@
 
 /// Waits for the answer while the connection works; tells also whether that has ended.
 async fn drive(
-    answer: impl Future<Output = End>,
+    answer: impl Future<Output = AttemptResult>,
     connection: &mut Connection<TokioIo<TcpStream>, Full<Bytes>>,
-) -> (End, bool) {
+) -> (AttemptResult, bool) {
     tokio::pin!(answer);
     let mut ended = false;
     loop {
@@ -255,42 +259,41 @@
     }
 }
 
-async fn connect(driver: &Rc<Driver>, addr: SocketAddr) -> Result<Link, Outcome> {
-    let room = driver.pool.borrow_mut().reserve().ok_or(Outcome::NotSent)?;
-    let limit = Duration::from_secs_f64(driver.config.settings.connect_timeout_ms.max(1.0) / 1000.0);
-    let stream = match timeout(limit, TcpStream::connect(addr)).await {
+async fn connect(servers: &Servers, engine: &Engine, addr: SocketAddr) -> Result<Link, Outcome> {
+    let room = servers.pool.borrow_mut().reserve().ok_or(Outcome::NotSent)?;
+    let stream = match timeout(servers.connect_timeout, TcpStream::connect(addr)).await {
         Ok(Ok(stream)) => stream,
         // Want of descriptors or ports here says nothing about the server: it must not count as silent.
         Ok(Err(e)) if e.raw_os_error().is_some_and(|n| OWN_FAULTS.contains(&n)) => {
-            driver.log(&format!("connect: {e}"));
+            engine.log(&format!("connect failed: {e}"));
             return Err(Outcome::NotSent);
         }
         Ok(Err(_)) | Err(_) => return Err(Outcome::ConnectFailed),
     };
     let _ = stream.set_nodelay(true);
-    let made = http1::Builder::new().max_buf_size(MOST_BODY).handshake(TokioIo::new(stream)).await;
+    let made = http1::Builder::new().max_buf_size(MAX_BODY_BYTES).handshake(TokioIo::new(stream)).await;
     let (sender, connection) = made.map_err(|_| Outcome::ConnectFailed)?;
     Ok(Link { sender, connection, _room: room })
 }
 
-fn request(job: &Job, addr: SocketAddr, left_ms: f64) -> hyper::http::Result<Request<Full<Bytes>>> {
-    let content = &job.content;
+fn request(job: &AttemptJob, addr: SocketAddr, left_ms: f64) -> hyper::http::Result<Request<Full<Bytes>>> {
+    let content = &job.request;
     let mut request = Request::builder()
         .method(content.method.clone())
         .uri(content.target.clone())
         .header(hyper::header::HOST, addr.to_string())
-        .header(CORRELATION, content.correlation.clone())
+        .header(CORRELATION_ID, content.correlation_id.clone())
         .header(TIME_LEFT, format!("{:.3}", (left_ms / 1000.0).max(0.001)));
-    if let Some(key) = &content.key {
-        request = request.header(KEY, key.clone());
+    if let Some(key) = &content.idempotency_key {
+        request = request.header(IDEMPOTENCY_KEY, key.clone());
     }
     request.body(Full::new(content.body.clone()))
 }
 
 /// Drops idle connections in time.
-pub async fn sweep(driver: Rc<Driver>) {
+pub async fn sweep(servers: Rc<Servers>) {
     loop {
         tokio::time::sleep(Duration::from_secs(1)).await;
-        driver.pool.borrow_mut().sweep();
+        servers.pool.borrow_mut().sweep();
     }
 }
--- a/limiter/tests/crossings.rs
+++ b/limiter/tests/crossings.rs
@@ -76,7 +76,7 @@
         wait_for("the call", || node.discovery.calls() > 0);
         node.discovery.release(&line(2, false, &[("s-1", one.addr, "leaving"), ("s-2", two.addr, "active")]));
         let answer = read_answer(&mut client);
-        if node.logged("the list of the start counts") {
+        if node.logged("using the endpoint list of the configuration") {
             continue;
         }
         assert_eq!((answer.status, answer.body.as_str()), (200, "two"));
@@ -389,7 +389,7 @@
         .collect();
     wait_for("the requests to arrive", || server.seen().len() >= 4);
     node.signal("TERM");
-    node.wait_log("finishing");
+    node.wait_log("shutting down");
     let mut late = TcpStream::connect(node.addr).expect("connect");
     late.write_all(long(9).as_bytes()).expect("write");
     clients.push(late);
--- a/limiter/tests/ending.rs
+++ b/limiter/tests/ending.rs
@@ -92,7 +92,7 @@
         let mut resting = kept(&node, "first");
         let mut silent = TcpStream::connect(node.addr).expect("connect");
         node.signal("TERM");
-        node.wait_log("finishing");
+        node.wait_log("shutting down");
         let new = stalled(&node, || {
             is_open(&resting).then(|| {
                 resting.write_all(named("resting").as_bytes()).expect("write");
@@ -116,7 +116,7 @@
     let (server, mut node) = short();
     let resting = kept(&node, "first");
     node.signal("TERM");
-    node.wait_log("finishing");
+    node.wait_log("shutting down");
     let ids: Vec<String> = (0..120).map(|n| format!("q-{n}")).collect();
     let mut waiting: Vec<TcpStream> =
         stalled(&node, || ids.iter().filter(|_| is_open(&resting)).map(|id| asking(node.addr, id)).collect());
@@ -180,7 +180,7 @@
         .collect();
     wait_for("traffic", || server.seen().len() > 100);
     node.signal("TERM");
-    node.wait_log("finishing");
+    node.wait_log("shutting down");
     stalled(&node, || ());
     for client in sending {
         let (answered, unanswered) = client.join().expect("whole answers").expect("an end");
@@ -243,7 +243,7 @@
     let later = line(9, true, &[("s-9", elsewhere.addr, "active")]);
     one.release(&later);
     one.watches().first().iter().for_each(|_| one.push(&later));
-    wait_for("the old watch to end", || one.calls() == 0 || logged("is watched no more"));
+    wait_for("the old watch to end", || one.calls() == 0 || logged("is no longer watched"));
     two.push(&line(2, false, &[("s-3", server.addr, "active")]));
     wait_for("the new watch's next list", || logged("server s-3"));
     let log = std::fs::read_to_string(&log).expect("a log");
--- a/limiter/tests/sockets.rs
+++ b/limiter/tests/sockets.rs
@@ -306,7 +306,7 @@
     node.wait_log("server s-1 at");
     wait_for("the new list", || ask(&node, &get("look", "")).body == "one");
     node.discovery.push(&line(8, true, &[("s-2", two.addr, "active")]));
-    node.wait_log("another source speaks");
+    node.wait_log("superseded by a newer source");
     assert_eq!(ask(&node, &get("look", "")).body, "one");
     other.end();
     wait_for("the watch begun anew", || other.watches().len() == 2);
@@ -319,7 +319,7 @@
     let server = Stub::new(|_, stream| write_ok(stream, "fine"));
     let node = Node::start(&[("s-1", &server, "active")]);
     node.reload(|c| c.replacen('{', "", 1));
-    node.wait_log("the old configuration stands");
+    node.wait_log("keeping the old configuration");
     assert_eq!(ask(&node, &get("look", "")).status, 200);
     node.discovery.push(&line(2, false, &[("s-1", server.addr, "leaving")]));
     wait_for("the old watch's news", || ready(&node) == 503);
@@ -340,7 +340,7 @@
     slow.write_all(post("book", "k1", "", "slow").as_bytes()).expect("write");
     wait_for("the slow request to arrive", || server.seen().len() == 2);
     node.signal("TERM");
-    node.wait_log("finishing");
+    node.wait_log("shutting down");
     assert_eq!(ask(&node, &get("look", "")).status, 200, "new connections are still served");
     assert_eq!(exchange(&mut idle, &get("look", "")).status, 200, "and those that are kept");
     assert_eq!(idle.read(&mut [0; 16]).expect("a clean end"), 0, "closed between requests");
@@ -359,7 +359,7 @@
     let mut kept = TcpStream::connect(node.addr).expect("connect");
     assert_eq!(exchange(&mut kept, &get("look", "")).status, 200);
     node.signal("TERM");
-    node.wait_log("finishing");
+    node.wait_log("shutting down");
     // Of 2.4 s; the next one comes after half of that.
     std::thread::sleep(Duration::from_millis(1200));
     assert_eq!(exchange(&mut kept, &get("look", "")).status, 200);
@@ -420,7 +420,7 @@
     let server = Stub::new(|_, stream| write_ok(stream, "fine"));
     let node = Node::limited(&[("s-1", &server, "active")], 24);
     let held: Vec<TcpStream> = (0..60).map(|_| TcpStream::connect(node.addr).expect("connect")).collect();
-    node.wait_log("accept: ");
+    node.wait_log("accept failed: ");
     drop(held);
     wait_for("service", || ask(&node, &get("look", "")).status == 200);
 }
--- a/limiter/tests/starting.rs
+++ b/limiter/tests/starting.rs
@@ -67,7 +67,7 @@
         patient.replace(r#""sockets":1024"#, r#""sockets":64"#).replace(NONE_KNOWN, known.trim_end())
     };
     let node = Node::before(Discovery::held("\n".to_string()), small, 64);
-    node.wait_log("the list of the start counts");
+    node.wait_log("using the endpoint list of the configuration");
     let hang = |n: usize| {
         let mut client = TcpStream::connect(node.addr).expect("connect");
         let request = get("look", "").replace("c-1", &format!("c-{n}")).replace("Left: 3.0", "Left: 60");
