Divide the adapter into modules of one job, with the field's names and typed errors

Cause: wire.rs held incoming and outgoing messages, the settings JSON, the lookup of names, hex digits and all translation; its Rust names were the simulator's words, its fields without a doc, and every error a string. Change: wire/{event,action,settings} are the JSON alone, with its keys in serde(rename); convert/{event,action,settings} translate; names, hex, host, serve and error do one thing each. AdapterError, SettingsJsonError and UnknownName replace strings. What the program uses is exported at the root, the rest is private. NameIndex answers for each of its three kinds with UnknownName, and the program's config.rs and clients.rs follow the names. thiserror is new to this crate; it stood in the lock file. Fields that nothing reads are parsed as before, because a malformed value is an error there too. One text differs: where a value is of the wrong JSON type, serde_json's message names the Rust type, which has a new name.

--- a/limiter/src/clients.rs
+++ b/limiter/src/clients.rs
@@ -598,7 +598,7 @@
     let (Some(class), Some(customer), None) = (parts.next(), parts.next(), parts.next()) else {
         return Err((StatusCode::NOT_FOUND, "no such path"));
     };
-    let class = names.class(class).ok_or_else(|| bad("unknown class"))?;
+    let class = names.class(class).map_err(|_| bad("unknown class"))?;
     let customer = Some(customer)
         .filter(|c| c.len() == 16 && c.bytes().all(|b| b.is_ascii_hexdigit()))
         .and_then(|c| u64::from_str_radix(c, 16).ok())
@@ -609,7 +609,7 @@
         return Err((StatusCode::METHOD_NOT_ALLOWED, "not this class's method"));
     }
     let text = |name: &HeaderName| head.headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim);
-    let plan = text(&PLAN).and_then(|p| names.plan(p)).ok_or_else(|| bad("no known X-Tariff"))?;
+    let plan = text(&PLAN).and_then(|p| names.plan(p).ok()).ok_or_else(|| bad("no known X-Tariff"))?;
     let left_s = text(&TIME_LEFT)
         .and_then(|t| t.parse::<f64>().ok())
         .filter(|t| (0.0..=MOST_TIME_LEFT).contains(t))
--- a/limiter/src/config.rs
+++ b/limiter/src/config.rs
@@ -4,7 +4,7 @@
 
 use limiter_core::Settings;
 use serde::Deserialize;
-use simulator_adapter::wire::{self, Names, Setup};
+use simulator_adapter::{ClassSettings, InstanceSettings, NameIndex};
 
 use crate::discovery::List;
 
@@ -24,7 +24,7 @@
     #[serde(rename = "peers_all")]
     _peers_all: Option<SocketAddr>,
     known: Option<serde_json::Value>,
-    settings: Setup,
+    settings: InstanceSettings,
 }
 
 /// The platform's limits that bear on what is kept open. Memory follows from them: buffers are bounded.
@@ -72,7 +72,7 @@
     /// The module's settings.
     pub settings: Settings,
     /// Names of classes, plans and zones.
-    pub names: Names,
+    pub names: NameIndex,
 }
 
 /// Share of a server's idle time after which this side drops a connection: a request written to one that the
@@ -102,9 +102,9 @@
 /// Milliseconds from SIGTERM to two moments: until the first, requests are taken, as long as each can still be answered
 /// before SIGKILL; by the second all are answered. The module ends a request at its aim where a later answer is worth
 /// nothing.
-fn drain_ms(settings: &Setup) -> (f64, f64) {
-    let deadline = |c: &wire::Class| c.deadline_ms.unwrap_or(MOST_DEADLINE_MS).min(MOST_DEADLINE_MS);
-    let ends = |c: &wire::Class| if c.late_worth > 0.0 { MOST_DEADLINE_MS } else { c.aim_ms };
+fn drain_ms(settings: &InstanceSettings) -> (f64, f64) {
+    let deadline = |c: &ClassSettings| c.deadline_ms.unwrap_or(MOST_DEADLINE_MS).min(MOST_DEADLINE_MS);
+    let ends = |c: &ClassSettings| if c.late_value > 0.0 { MOST_DEADLINE_MS } else { c.latency_objective_ms };
     let longest = settings.classes.iter().map(deadline).fold(0.0, f64::max);
     let answered = settings.classes.iter().map(ends).fold(0.0, f64::max);
     let all = (longest + KILL_AFTER_MS - DRAIN_SPARE_MS).max(LEAST_DRAIN_MS);
@@ -143,13 +143,13 @@
             Some(hex) => u64::from_str_radix(&hex, 16).map_err(|_| format!("seed '{hex}' is not hex"))?,
             None => u64::from(std::process::id()),
         };
-        let server_idle = file.settings.bounds.idle_close_ms.unwrap_or(IDLE_MS);
+        let server_idle = file.settings.capabilities.server_idle_timeout_ms.unwrap_or(IDLE_MS);
         if !server_idle.is_finite() || server_idle < 0.0 {
             return Err(format!("IdleCloseMs {server_idle} is not a time"));
         }
         let (drain_ms, end_ms) = drain_ms(&file.settings);
-        let most_units = file.settings.domain.units_top.unwrap_or(MOST_UNITS);
-        let (settings, names) = wire::settings(file.settings).map_err(|e| format!("settings: {e}"))?;
+        let most_units = file.settings.service.max_request_units.unwrap_or(MOST_UNITS);
+        let (settings, names) = file.settings.into_core().map_err(|e| format!("settings: {e}"))?;
         let by_memory = file.limits.memory_mb / CONNECTION_MB;
         let by_sockets = file.limits.sockets.saturating_sub(OWN_DESCRIPTORS);
         let all = by_sockets.min(by_memory.max(0.0) as usize);
--- /dev/null
+++ b/simulator-adapter/src/convert/event.rs
@@ -0,0 +1,76 @@
+//! From messages to the decision module's events.
+
+use std::sync::Arc;
+
+use limiter_core::{CustomerId, Endpoint, EndpointState, Event, Outcome, Request};
+
+use crate::error::MessageError;
+use crate::names::{NameIndex, UnknownName};
+use crate::wire::event::{AttemptEnd, EndpointCondition, EndpointRecord, OutcomeCode, RequestArrival};
+
+/// A request that arrived.
+pub(crate) fn request(arrival: &RequestArrival, names: &NameIndex) -> Result<Request, MessageError> {
+    Ok(Request {
+        id: arrival.request_id,
+        class: names.class(&arrival.class)?,
+        plan: names.plan(&arrival.plan)?,
+        customer: customer_id(&arrival.customer)?,
+        timeout_ms: arrival.timeout_ms,
+        cost_units: arrival.cost_units,
+        member_count: arrival.member_count,
+        first_member: arrival.first_member,
+    })
+}
+
+fn customer_id(text: &str) -> Result<CustomerId, MessageError> {
+    CustomerId::from_str_radix(text, 16).map_err(|_| MessageError::InvalidCustomer(text.to_string()))
+}
+
+/// The event that an attempt ended.
+pub(crate) fn attempt_ended(end: &AttemptEnd) -> Event {
+    Event::AttemptEnded {
+        id: end.request_id,
+        attempt: end.attempt,
+        outcome: end.outcome.into(),
+        elapsed_ms: end.elapsed_ms,
+        finished: end.finished,
+        actual_units: end.actual_units.filter(|units| *units > 0.0),
+    }
+}
+
+/// A server that discovery announces.
+pub(crate) fn endpoint(record: &EndpointRecord, names: &NameIndex) -> Result<Endpoint, UnknownName> {
+    Ok(Endpoint {
+        server: Arc::from(record.server.as_str()),
+        zone: names.zone(&record.zone)?,
+        cell: record.cell.unwrap_or_default(),
+        state: record.state.into(),
+        weight: record.weight.unwrap_or_default(),
+        started_at: record.started_at_ms.unwrap_or_default(),
+    })
+}
+
+impl From<EndpointCondition> for EndpointState {
+    fn from(condition: EndpointCondition) -> EndpointState {
+        match condition {
+            EndpointCondition::Serving => EndpointState::Serving,
+            EndpointCondition::Draining => EndpointState::Draining,
+            EndpointCondition::Removed => EndpointState::Removed,
+        }
+    }
+}
+
+impl From<OutcomeCode> for Outcome {
+    fn from(code: OutcomeCode) -> Outcome {
+        match code {
+            OutcomeCode::Ok => Outcome::Ok,
+            OutcomeCode::Error => Outcome::Error,
+            OutcomeCode::Rejected => Outcome::Rejected,
+            OutcomeCode::TimedOut => Outcome::TimedOut,
+            OutcomeCode::ConnectFailed => Outcome::ConnectFailed,
+            OutcomeCode::ConnectionLost => Outcome::ConnectionLost,
+            OutcomeCode::Cancelled => Outcome::Cancelled,
+            OutcomeCode::NotSent => Outcome::NotSent,
+        }
+    }
+}
--- /dev/null
+++ b/simulator-adapter/src/names.rs
@@ -0,0 +1,87 @@
+//! Classes, plans and zones have names in the settings and on the wire, and indexes in the decision module.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use thiserror::Error;
+
+/// What a name stands for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NameKind {
+    /// A request class.
+    Class,
+    /// A plan.
+    Plan,
+    /// A zone.
+    Zone,
+}
+
+impl fmt::Display for NameKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            NameKind::Class => "class",
+            NameKind::Plan => "plan",
+            NameKind::Zone => "zone",
+        })
+    }
+}
+
+/// A name that the settings do not contain.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("unknown {kind} '{name}'")]
+pub struct UnknownName {
+    /// What it was looked up as.
+    pub kind: NameKind,
+    /// The name.
+    pub name: String,
+}
+
+/// The indexes that the names in one instance's settings stand for.
+pub struct NameIndex {
+    classes: BTreeMap<String, usize>,
+    plans: BTreeMap<String, usize>,
+    zones: BTreeMap<String, u32>,
+}
+
+impl NameIndex {
+    /// Numbers each kind of name in the order given. Of equal names the last one counts.
+    pub(crate) fn new<'a>(
+        classes: impl Iterator<Item = &'a str>,
+        plans: impl Iterator<Item = &'a str>,
+        zones: impl Iterator<Item = &'a str>,
+    ) -> NameIndex {
+        NameIndex {
+            classes: classes.map(str::to_string).zip(0..).collect(),
+            plans: plans.map(str::to_string).zip(0..).collect(),
+            zones: zones.map(str::to_string).zip(0..).collect(),
+        }
+    }
+
+    /// The index of a class in [`limiter_core::Settings::classes`].
+    ///
+    /// # Errors
+    /// The settings name no such class.
+    pub fn class(&self, name: &str) -> Result<usize, UnknownName> {
+        look_up(&self.classes, NameKind::Class, name)
+    }
+
+    /// The index of a plan in [`limiter_core::Settings::plans`].
+    ///
+    /// # Errors
+    /// The settings name no such plan.
+    pub fn plan(&self, name: &str) -> Result<usize, UnknownName> {
+        look_up(&self.plans, NameKind::Plan, name)
+    }
+
+    /// The number of a zone.
+    ///
+    /// # Errors
+    /// The settings name no such zone.
+    pub fn zone(&self, name: &str) -> Result<u32, UnknownName> {
+        look_up(&self.zones, NameKind::Zone, name)
+    }
+}
+
+fn look_up<T: Copy>(index: &BTreeMap<String, T>, kind: NameKind, name: &str) -> Result<T, UnknownName> {
+    index.get(name).copied().ok_or_else(|| UnknownName { kind, name: name.to_string() })
+}
--- /dev/null
+++ b/simulator-adapter/src/wire/event.rs
@@ -0,0 +1,248 @@
+//! Messages from the simulator to the instances. Times are milliseconds, costs quota units.
+//!
+//! Fields that nothing reads are parsed nevertheless: a value of the wrong kind is an error wherever it stands.
+
+use limiter_core::{Millis, RequestId};
+use serde::Deserialize;
+
+use super::settings::InstanceSettings;
+
+/// One line of input.
+#[derive(Deserialize)]
+pub(crate) struct InboundBatch {
+    /// The time at which all its messages arrive.
+    #[serde(rename = "MomentMs")]
+    pub now_ms: Millis,
+    /// Number of the batch, which the reply repeats.
+    #[serde(rename = "turn")]
+    pub sequence: u64,
+    /// Its messages, to be handled in this order.
+    #[serde(rename = "in")]
+    pub messages: Vec<InboundMessage>,
+}
+
+/// A message to one instance or, with [`InboundMessage::EndpointPage`], to all.
+#[derive(Deserialize)]
+#[serde(tag = "m", rename_all_fields = "PascalCase")]
+pub(crate) enum InboundMessage {
+    /// Start an instance, in place of one of the same name.
+    #[serde(rename = "NEW_INSTANCE")]
+    StartInstance {
+        limiter_id: String,
+        /// Seeds its random numbers.
+        seed: u64,
+        #[serde(rename = "Setup")]
+        settings: Box<InstanceSettings>,
+    },
+    /// Stop an instance.
+    #[serde(rename = "DOWN")]
+    StopInstance { limiter_id: String },
+    /// Endpoints that later messages refer to by the number of this page.
+    #[serde(rename = "CENSUS")]
+    EndpointPage {
+        page: u32,
+        #[serde(rename = "Elements")]
+        endpoints: Vec<EndpointRecord>,
+    },
+    /// Discovery announces the endpoints of a page, or has failed.
+    #[serde(rename = "BACKENDS_CHANGED")]
+    EndpointsChanged { limiter_id: String, scope: EndpointScope, page: Option<u32> },
+    /// A client request arrived.
+    #[serde(rename = "WORK_ITEM")]
+    RequestArrived(Box<RequestArrival>),
+    /// The response of a request has begun to stream.
+    #[serde(rename = "STREAMING")]
+    ResponseStarted {
+        limiter_id: String,
+        #[serde(rename = "Ticket")]
+        request_id: RequestId,
+    },
+    /// An attempt ended.
+    #[serde(rename = "ATTEMPT_END")]
+    AttemptEnded(Box<AttemptEnd>),
+    /// The client of a request has disconnected.
+    #[serde(rename = "CLIENT_GONE")]
+    ClientDisconnected {
+        limiter_id: String,
+        #[serde(rename = "Ticket")]
+        request_id: RequestId,
+    },
+    /// A timer fired.
+    #[serde(rename = "TIMEOUT_FIRED")]
+    TimerFired {
+        limiter_id: String,
+        /// The encoded token with which it was set.
+        #[serde(rename = "KeyBack")]
+        token: u64,
+    },
+    /// A probe of a server ended; instances send none.
+    #[serde(rename = "STATUS_BACK")]
+    #[expect(dead_code, reason = "parsed to find malformed values")]
+    ProbeEnded {
+        limiter_id: String,
+        server: String,
+        outcome: OutcomeCode,
+        #[serde(rename = "Telemetry")]
+        load_report: Option<LoadReport>,
+    },
+    /// A gossip message arrived from another instance.
+    #[serde(rename = "HEARD")]
+    GossipReceived {
+        limiter_id: String,
+        /// Position of the sender.
+        #[serde(rename = "Who")]
+        from: u32,
+        /// The encoded message in hex digits.
+        body: String,
+    },
+    /// The shared counter was read; instances do not use it.
+    #[serde(rename = "TOTAL")]
+    #[expect(dead_code, reason = "parsed to find malformed values")]
+    CounterRead {
+        limiter_id: String,
+        #[serde(rename = "EntryName")]
+        counter: u64,
+        outcome: OutcomeCode,
+        sum: Option<f64>,
+    },
+}
+
+/// A client request.
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(crate) struct RequestArrival {
+    /// The instance at which it arrived.
+    pub limiter_id: String,
+    /// Identifies it at this instance.
+    #[serde(rename = "Ticket")]
+    pub request_id: RequestId,
+    /// Name of its class.
+    #[serde(rename = "Service")]
+    pub class: String,
+    /// Name of its plan.
+    pub plan: String,
+    /// The customer whose quota it counts against, in hex digits.
+    #[serde(rename = "ClientId")]
+    pub customer: String,
+    /// Time until the client gives up.
+    #[serde(rename = "BudgetMs")]
+    pub timeout_ms: Millis,
+    /// Its cost, declared or estimated.
+    #[serde(rename = "PriceUnits")]
+    pub cost_units: f64,
+    /// How many instances receive this customer's requests...
+    #[serde(rename = "EntryPoints")]
+    pub member_count: u32,
+    /// ...counted in a ring from this position.
+    #[serde(rename = "SetFrom")]
+    pub first_member: u32,
+}
+
+/// The end of an attempt.
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(crate) struct AttemptEnd {
+    /// The instance that made it.
+    pub limiter_id: String,
+    /// The request that it was for.
+    #[serde(rename = "Ticket")]
+    pub request_id: RequestId,
+    /// Which of the request's attempts, from 0.
+    #[serde(rename = "Trial")]
+    pub attempt: u32,
+    /// How it ended.
+    pub outcome: OutcomeCode,
+    /// How long it took.
+    #[serde(rename = "DurationMs")]
+    pub elapsed_ms: Millis,
+    /// The request has its final response, or needs none any more.
+    #[serde(rename = "NoMore", default)]
+    pub finished: bool,
+    /// What the request really cost.
+    #[serde(rename = "Actual")]
+    pub actual_units: Option<f64>,
+    /// The server's load; the decisions do not use it.
+    #[serde(rename = "Telemetry")]
+    #[expect(dead_code, reason = "parsed to find malformed values")]
+    pub load_report: Option<LoadReport>,
+}
+
+/// What a server reports of its load.
+#[derive(Deserialize)]
+#[expect(dead_code, reason = "parsed to find malformed values")]
+pub(crate) struct LoadReport {
+    /// Its latency in milliseconds.
+    #[serde(rename = "svc_ms")]
+    pub latency_ms: Option<Millis>,
+    /// Its requests in flight.
+    #[serde(rename = "busy_reqs")]
+    pub in_flight: Option<f64>,
+}
+
+/// A server as discovery announces it.
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(crate) struct EndpointRecord {
+    /// Identifies the server.
+    pub server: String,
+    /// Name of its zone.
+    #[serde(rename = "Site")]
+    pub zone: String,
+    /// Its cell; 0 where there are none.
+    #[serde(rename = "Stripe")]
+    pub cell: Option<u32>,
+    /// Whether it takes requests.
+    #[serde(rename = "Condition")]
+    pub state: EndpointCondition,
+    /// Its capacity relative to the others; 0 where it is left out.
+    pub weight: Option<f64>,
+    /// When it last started; 0 for long ago.
+    #[serde(rename = "StartTimeMs")]
+    pub started_at_ms: Option<Millis>,
+}
+
+/// What discovery says of a server.
+#[derive(Deserialize, Clone, Copy)]
+pub(crate) enum EndpointCondition {
+    #[serde(rename = "in_service")]
+    Serving,
+    #[serde(rename = "terminating")]
+    Draining,
+    #[serde(rename = "terminated")]
+    Removed,
+}
+
+/// Which endpoints a page holds.
+#[derive(Deserialize, PartialEq, Clone, Copy)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum EndpointScope {
+    /// Those that have changed.
+    Delta,
+    /// All.
+    Full,
+    /// All as they were last known.
+    Cached,
+    /// None: discovery has failed.
+    Failed,
+}
+
+/// How an attempt, a probe or a read of the shared counter ended.
+#[derive(Deserialize, Clone, Copy)]
+pub(crate) enum OutcomeCode {
+    #[serde(rename = "completed")]
+    Ok,
+    #[serde(rename = "errored")]
+    Error,
+    #[serde(rename = "saturated")]
+    Rejected,
+    #[serde(rename = "overdue")]
+    TimedOut,
+    #[serde(rename = "refused_conn")]
+    ConnectFailed,
+    #[serde(rename = "severed")]
+    ConnectionLost,
+    #[serde(rename = "recalled")]
+    Cancelled,
+    #[serde(rename = "superseded")]
+    NotSent,
+}
