--- a/limiter/src/endpoints.rs
+++ b/limiter/src/endpoints.rs
@@ -5,7 +5,7 @@
 use limiter_core::{Endpoint, EndpointState, ServerId};
 use serde::Deserialize;
 use serde_json::Value;
-use simulator_adapter::wire::Names;
+use simulator_adapter::NameIndex;
 
 /// A list of servers, or of changes to one, as discovery writes it.
 #[derive(Deserialize, Clone)]
@@ -39,7 +39,7 @@
 
 impl EndpointList {
     /// The list with the zones' names resolved. An entry that cannot be read does not cost the others.
-    pub fn resolve(&self, names: &Names) -> EndpointUpdate {
+    pub fn resolve(&self, names: &NameIndex) -> EndpointUpdate {
         let resolve = |value: &Value| resolve_entry(value, |zone| names.zone(zone).ok());
         let endpoints: Vec<ResolvedEndpoint> = self.servers.iter().filter_map(resolve).collect();
         let invalid_entries = self.servers.len() - endpoints.len();
