Validate request heads and bodies in modules of their own, with typed errors

Cause: the front end was one file of 640 lines; a rejection was a tuple of status and text made on the spot. Change: RequestHeadError and RequestBodyError name each reason, with status and text; request_head parses the head in steps, request_body reads the body within bounds, response builds what clients get. Order of the checks, statuses and texts stay.

--- a/limiter/src/frontend/mod.rs
+++ b/limiter/src/frontend/mod.rs
@@ -1,5 +1,9 @@
 //! The HTTP server towards clients.
 
+mod request_body;
+mod request_head;
+mod response;
+
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -10,28 +14,23 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, RETRY_AFTER, TRANSFER_ENCODING};
+use bytes::BytesMut;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Response, StatusCode};
+use hyper::{Method, StatusCode};
 use hyper_util::rt::TokioIo;
-use limiter_core::{Idempotency, Request};
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{timeout_at, Instant};
 
 use crate::engine::Engine;
-use crate::request::{
-    FinalResponse, ForwardedRequest, CORRELATION_ID, IDEMPOTENCY_KEY, MAX_BODY_BYTES, TIME_LEFT,
-};
-
-const PLAN: HeaderName = HeaderName::from_static("x-tariff");
-const WEIGHT: HeaderName = HeaderName::from_static("x-weight");
+use crate::request::ForwardedRequest;
+use request_body::{read_body, RequestBodyError};
+use request_head::RequestHead;
+use response::ClientResponse;
 
 /// Longest head of a request.
 const MOST_HEAD: usize = 16 << 10;
@@ -42,9 +41,6 @@
 const IDLE_TIME: Duration = Duration::from_secs(30);
 /// How often that is seen to.
 const SWEEP: Duration = Duration::from_millis(250);
-/// The longest time left that makes sense, in seconds, and the longest that is kept in mind.
-const MOST_TIME_LEFT: f64 = 3600.0;
-const KEPT_TIME_LEFT: f64 = 60.0;
 /// A connection may be cut for want of room after resting for so long since its last answer was written; one that has
 /// not asked yet, after this time for its request to come. While all rest, others wait to be accepted, and the time that
 /// this takes their clients is seen by nobody.
@@ -52,9 +48,6 @@
 const EVICT_SILENT: Duration = Duration::from_millis(100);
 /// How often it is seen whether there is room again, or an end to wait for.
 const TICK: Duration = Duration::from_millis(50);
-/// A body that is too large is read on for so long and so far, so that its sender sees the answer.
-const MOST_DISCARDED: usize = 1 << 20;
-const DISCARD_TIME: Duration = Duration::from_secs(1);
 /// When no more requests are taken: one that asks nothing is closed.
 const DRAIN_IDLE: Duration = Duration::from_millis(500);
 /// A request that races with the end of its keep-alive connection comes once more on a new one: these are accepted for
@@ -414,7 +407,7 @@
             client.reading.set(true);
             let mut answer = respond(&engine, &client, request).await;
             if clients.closing.get() || client.overrun.get() {
-                answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                response::close_connection(&mut answer);
             }
             client.reading.set(false);
             client.writing.set(true);
@@ -449,189 +442,39 @@
     }
 }
 
-async fn respond(
-    engine: &Rc<Engine>,
-    client: &Client,
-    request: hyper::Request<Incoming>,
-) -> Response<Full<Bytes>> {
+async fn respond(engine: &Rc<Engine>, client: &Client, request: hyper::Request<Incoming>) -> ClientResponse {
     // What comes from here on, but for this request's body, belongs to the next one.
     let begun = client.begun.take().unwrap_or_else(Instant::now);
     if request.uri().path() == "/-/ready" {
         let status = if engine.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-        return plain(status, "");
+        return response::empty(status);
     }
     let (head, body) = request.into_parts();
-    let read = match read(engine, &head) {
-        Ok(read) => read,
-        Err((status, why)) => return bad(status, why),
-    };
-    let body = timeout_at(begun + PART_TIME, whole(body)).await;
+    let RequestHead { request, target, correlation_id, idempotency_key } =
+        match RequestHead::parse(&head, engine.config()) {
+            Ok(parsed) => parsed,
+            Err(error) => return response::reject(error.status(), error.to_string()),
+        };
+    let body = timeout_at(begun + PART_TIME, read_body(body)).await;
     client.reading.set(false);
-    let body = match body {
-        Ok(Ok(whole)) => whole,
-        Ok(Err((status, why))) => return bad(status, why),
-        Err(_) => return bad(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
+    let body = match body.unwrap_or(Err(RequestBodyError::TimedOut)) {
+        Ok(body) if head.method == Method::GET && !body.is_empty() => {
+            Err(RequestBodyError::UnexpectedWithGet)
+        }
+        read => read,
     };
-    if head.method == Method::GET && !body.is_empty() {
-        return bad(StatusCode::BAD_REQUEST, "a GET has no body");
-    }
-    let content = ForwardedRequest {
-        method: head.method,
-        target: read.target,
-        correlation_id: read.correlation,
-        idempotency_key: read.key,
-        body,
+    let body = match body {
+        Ok(body) => body,
+        Err(error) => return response::reject(error.status(), error.to_string()),
     };
-    let Ok(pending) = engine.submit(content, read.request) else {
-        return bad(StatusCode::CONFLICT, "a request with this X-Correlation-Id is open");
+    let forwarded = ForwardedRequest { method: head.method, target, correlation_id, idempotency_key, body };
+    let Ok(pending) = engine.submit(forwarded, request) else {
+        let reason = "a request with this X-Correlation-Id is open";
+        return response::reject(StatusCode::CONFLICT, reason.to_owned());
     };
     client.waiting.set(true);
     client.looked.set(false);
     let answer = pending.wait().await;
     client.waiting.set(false);
-    match answer {
-        FinalResponse::Served(body) => Response::new(Full::new(body)),
-        FinalResponse::Rejected { retry_after_ms } => {
-            let mut answer = plain(StatusCode::TOO_MANY_REQUESTS, "");
-            if retry_after_ms > 0.0 {
-                if let Ok(value) = HeaderValue::from_str(&format!("{:.3}", retry_after_ms / 1000.0)) {
-                    answer.headers_mut().insert(RETRY_AFTER, value);
-                }
-            }
-            answer
-        }
-        FinalResponse::Failed => plain(StatusCode::BAD_GATEWAY, ""),
-    }
-}
-
-/// The body, of bounded length.
-async fn whole(mut body: Incoming) -> Result<Bytes, Bad> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let too_large = (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
-    if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
-        let _ = timeout(DISCARD_TIME, discard(body)).await;
-        return Err(too_large);
-    }
-    let mut whole = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| (StatusCode::BAD_REQUEST, "the body did not come whole"))?;
-        let Some(data) = frame.data_ref() else { continue };
-        if whole.len() + data.len() > MAX_BODY_BYTES {
-            let _ = timeout(DISCARD_TIME, discard(body)).await;
-            return Err(too_large);
-        }
-        whole.extend_from_slice(data);
-    }
-    Ok(whole.freeze())
-}
-
-/// Guards against an answer lost in a reset, which closing a socket with unread bytes would cause.
-async fn discard(mut body: Incoming) {
-    let mut seen = 0;
-    while let Some(Ok(frame)) = body.frame().await {
-        seen += frame.data_ref().map_or(0, Bytes::len);
-        if seen > MOST_DISCARDED {
-            return;
-        }
-    }
-}
-
-fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut answer = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
-    *answer.status_mut() = status;
-    answer
-}
-
-/// Answers what cannot be taken. Its body may be unread, so the connection ends.
-fn bad(status: StatusCode, why: &'static str) -> Response<Full<Bytes>> {
-    let mut answer = plain(status, why);
-    answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-    answer
-}
-
-/// What a request's head says.
-struct Told {
-    request: Request,
-    target: hyper::Uri,
-    correlation: HeaderValue,
-    key: Option<HeaderValue>,
-}
-
-type Bad = (StatusCode, &'static str);
-
-/// Reads a head whole; what is malformed or unknown reaches neither the module nor a server.
-fn read(engine: &Engine, head: &hyper::http::request::Parts) -> Result<Told, Bad> {
-    let bad = |why| (StatusCode::BAD_REQUEST, why);
-    // Guards against a request hidden in a body: hyper lets the coding win and may drop the length, another
-    // reader may go by that. Clients tell the length here.
-    if head.headers.contains_key(TRANSFER_ENCODING) {
-        return Err((StatusCode::LENGTH_REQUIRED, "a body comes with its length"));
-    }
-    let named = [CORRELATION_ID, IDEMPOTENCY_KEY, TIME_LEFT, PLAN, WEIGHT];
-    if named.iter().any(|name| head.headers.get_all(name).iter().nth(1).is_some()) {
-        return Err(bad("a header that may come once comes twice"));
-    }
-    let names = &engine.config().names;
-    let settings = &engine.config().settings;
-    let mut parts = head.uri.path().strip_prefix('/').unwrap_or_default().split('/');
-    let (Some(class), Some(customer), None) = (parts.next(), parts.next(), parts.next()) else {
-        return Err((StatusCode::NOT_FOUND, "no such path"));
-    };
-    let class = names.class(class).ok_or_else(|| bad("unknown class"))?;
-    let customer = Some(customer)
-        .filter(|c| c.len() == 16 && c.bytes().all(|b| b.is_ascii_hexdigit()))
-        .and_then(|c| u64::from_str_radix(c, 16).ok())
-        .filter(|c| *c < 1 << 33)
-        .ok_or_else(|| bad("the customer is not 16 hex digits below 2^33"))?;
-    let effect = settings.classes.get(class).map_or(Idempotency::NonIdempotent, |c| c.idempotency);
-    if head.method != if effect == Idempotency::Idempotent { Method::GET } else { Method::POST } {
-        return Err((StatusCode::METHOD_NOT_ALLOWED, "not this class's method"));
-    }
-    let text = |name: &HeaderName| head.headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim);
-    let plan = text(&PLAN).and_then(|p| names.plan(p)).ok_or_else(|| bad("no known X-Tariff"))?;
-    let left_s = text(&TIME_LEFT)
-        .and_then(|t| t.parse::<f64>().ok())
-        .filter(|t| (0.0..=MOST_TIME_LEFT).contains(t))
-        .ok_or_else(|| bad("no good X-Time-Left"))?;
-    let (units, spread, first) = text(&WEIGHT)
-        .and_then(|w| weight(w, settings.limiters, engine.config().max_request_units))
-        .ok_or_else(|| bad("no good X-Weight"))?;
-    let correlation = full(&head.headers, &CORRELATION_ID).ok_or_else(|| bad("no X-Correlation-Id"))?;
-    let key = full(&head.headers, &IDEMPOTENCY_KEY);
-    if effect == Idempotency::WithKey && key.is_none() {
-        return Err(bad("no Idempotency-Key"));
-    }
-    let target = head.uri.path_and_query().ok_or_else(|| bad("no path"))?.clone().into();
-    let request = Request {
-        id: 0,
-        class,
-        plan,
-        customer,
-        timeout_ms: left_s.min(KEPT_TIME_LEFT) * 1000.0,
-        cost_units: units,
-        member_count: spread,
-        first_member: first,
-    };
-    Ok(Told { request, target, correlation, key })
-}
-
-fn full(headers: &HeaderMap, name: &HeaderName) -> Option<HeaderValue> {
-    headers.get(name).filter(|v| !v.is_empty()).cloned()
-}
-
-/// `units=2,spread=3,first=1`, in any order; other names are passed over.
-fn weight(text: &str, limiters: u32, most: f64) -> Option<(f64, u32, u32)> {
-    let (mut units, mut spread, mut first) = (None, None, None);
-    for pair in text.split(',') {
-        let (name, value) = pair.split_once('=')?;
-        match name.trim() {
-            "units" => units = value.trim().parse::<f64>().ok().filter(|u| *u > 0.0 && *u <= most),
-            "spread" => spread = value.trim().parse::<u32>().ok().filter(|s| (1..=limiters).contains(s)),
-            "first" => first = value.trim().parse::<u32>().ok().filter(|f| *f < limiters),
-            _ => {}
-        }
-    }
-    Some((units?, spread?, first?))
+    response::from_final(answer)
 }
--- /dev/null
+++ b/limiter/src/frontend/response.rs
@@ -0,0 +1,54 @@
+//! Responses to clients.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use limiter_core::Millis;
+
+use crate::request::FinalResponse;
+
+/// A response to a client; its body is complete from the start.
+pub(super) type ClientResponse = Response<Full<Bytes>>;
+
+/// A response without a body.
+pub(super) fn empty(status: StatusCode) -> ClientResponse {
+    with_body(status, Bytes::new())
+}
+
+/// Rejects a request before it is submitted. Its body may be unread, so the connection ends.
+pub(super) fn reject(status: StatusCode, reason: String) -> ClientResponse {
+    let mut response = with_body(status, Bytes::from(reason));
+    close_connection(&mut response);
+    response
+}
+
+/// The response to a request that was submitted.
+pub(super) fn from_final(response: FinalResponse) -> ClientResponse {
+    match response {
+        FinalResponse::Served(body) => Response::new(Full::new(body)),
+        FinalResponse::Rejected { retry_after_ms } => too_many_requests(retry_after_ms),
+        FinalResponse::Failed => empty(StatusCode::BAD_GATEWAY),
+    }
+}
+
+/// Makes hyper end the connection after this response, and tells the client so.
+pub(super) fn close_connection(response: &mut ClientResponse) {
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+}
+
+fn too_many_requests(retry_after_ms: Millis) -> ClientResponse {
+    let mut response = empty(StatusCode::TOO_MANY_REQUESTS);
+    if retry_after_ms > 0.0 {
+        if let Ok(seconds) = HeaderValue::from_str(&format!("{:.3}", retry_after_ms / 1000.0)) {
+            response.headers_mut().insert(RETRY_AFTER, seconds);
+        }
+    }
+    response
+}
+
+fn with_body(status: StatusCode, body: Bytes) -> ClientResponse {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+}
