Split client connections into state, table, stream read ahead, driver and request handler

Cause: one struct of ten cells was read and written from everywhere in the file (busy, looked, overrun, begun). Waiting and looked become one DisconnectWatch, as the second was read only under the first. The other flags stay apart: hyper may start the handler of the next pipelined request while the head of a response without a body is still being written, so that they are no phases of one sequence. Order of branches, yields, timeouts and constants stay.

--- /dev/null
+++ b/limiter/src/frontend/connection.rs
@@ -0,0 +1,73 @@
+//! One client connection: the task that drives hyper on it.
+
+use std::cell::RefCell;
+use std::convert::Infallible;
+use std::future::poll_fn;
+use std::rc::Rc;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use super::connection_state::ConnectionState;
+use super::connections::Connections;
+use super::read_ahead::{ReadAhead, ReadAheadStream};
+use super::request_handler;
+use crate::engine::Engine;
+
+/// Longest head of a request.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+
+/// Adds a connection to the table and serves it in a task of its own.
+pub(super) fn spawn(engine: &Rc<Engine>, connections: &Rc<Connections>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let (id, state) = connections.add();
+    let (engine, connections) = (engine.clone(), connections.clone());
+    tokio::task::spawn_local(async move {
+        serve(&engine, &connections, &state, stream).await;
+        connections.remove(id);
+    });
+}
+
+/// Serves until the connection ends, from either side.
+///
+/// Awaited by the connection's task alone. Its return drops hyper's connection, and with it the handler of an open
+/// request: the engine then takes the client for disconnected. The order of the branches matters: hyper goes first,
+/// so that what has arrived is read before anything closes the connection.
+async fn serve(
+    engine: &Rc<Engine>,
+    connections: &Rc<Connections>,
+    state: &Rc<ConnectionState>,
+    stream: TcpStream,
+) {
+    let service = service_fn(|request| {
+        let (engine, connections, state) = (engine.clone(), connections.clone(), state.clone());
+        async move {
+            let response = request_handler::handle(&engine, &connections, &state, request).await;
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let read_ahead = Rc::new(RefCell::new(ReadAhead::new(stream)));
+    let stream = ReadAheadStream::new(read_ahead.clone(), state.clone());
+    let http = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .auto_date_header(false)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(http);
+    let mut is_shutting_down = false;
+    loop {
+        tokio::select! {
+            biased;
+            // An error here is the client's: it left, or sent what is not HTTP.
+            _ = &mut http => return,
+            // If a request has arrived meanwhile, the connection stays.
+            () = state.abort_requested() => if state.can_abort() { return },
+            () = poll_fn(|cx| read_ahead.borrow_mut().poll_disconnected(state, cx)) => return,
+            () = state.shutdown_requested(), if !is_shutting_down => {
+                is_shutting_down = true;
+                http.as_mut().graceful_shutdown();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/limiter/src/frontend/connections.rs
@@ -0,0 +1,112 @@
+//! The table of open client connections: sweep, eviction, graceful shutdown.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::futures::Notified;
+use tokio::sync::Notify;
+
+use super::connection_state::ConnectionState;
+
+/// A connection that has been answered and stays idle is closed after this time.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// The same during the graceful shutdown.
+const SHUTDOWN_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
+/// How often connections are checked for being overdue. A few passes a second cost less than a timer for each
+/// request.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The open client connections.
+#[derive(Default)]
+pub(super) struct Connections {
+    /// By id, hence in the order in which they were accepted.
+    by_id: RefCell<BTreeMap<u64, Rc<ConnectionState>>>,
+    last_id: Cell<u64>,
+    closed: Notify,
+    is_shutting_down: Cell<bool>,
+}
+
+impl Connections {
+    /// How many are open.
+    pub(super) fn len(&self) -> usize {
+        self.by_id.borrow().len()
+    }
+
+    /// Adds a connection that was accepted now; its id and its state.
+    pub(super) fn add(&self) -> (u64, Rc<ConnectionState>) {
+        let id = self.last_id.get() + 1;
+        self.last_id.set(id);
+        let state = Rc::new(ConnectionState::new());
+        self.by_id.borrow_mut().insert(id, state.clone());
+        (id, state)
+    }
+
+    /// Removes a connection that is closed.
+    pub(super) fn remove(&self, id: u64) {
+        self.by_id.borrow_mut().remove(&id);
+        self.closed.notify_one();
+    }
+
+    /// Awaited by the accept loop: completes after a connection has closed. Cancelling loses no notification.
+    pub(super) fn closed(&self) -> Notified<'_> {
+        self.closed.notified()
+    }
+
+    /// Whether no more requests are taken but those already on their way.
+    pub(super) fn is_shutting_down(&self) -> bool {
+        self.is_shutting_down.get()
+    }
+
+    /// Closes connections that have sent no request, or a part of one, for too long. Runs as a task of its own and
+    /// never completes; it holds no borrow while it sleeps.
+    pub(super) async fn sweep(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(SWEEP_INTERVAL).await;
+            let idle_timeout = if self.is_shutting_down() { SHUTDOWN_IDLE_TIMEOUT } else { IDLE_TIMEOUT };
+            for state in self.by_id.borrow().values() {
+                if state.can_abort() && state.is_overdue(idle_timeout) {
+                    state.request_abort();
+                }
+            }
+        }
+    }
+
+    /// Whether any response is owed or on its way. See [`ConnectionState::has_unanswered`].
+    pub(super) fn has_unanswered(&self) -> bool {
+        self.by_id.borrow().values().any(|state| state.has_unanswered())
+    }
+
+    /// Closes the connection that can be spared most, if one can. Guards against crowds that hold connections, or
+    /// send half a request, in place of the clients that send requests.
+    pub(super) fn evict_one(&self) {
+        let by_id = self.by_id.borrow();
+        let evictable = by_id.values().filter(|state| state.can_evict());
+        if let Some(state) = evictable.min_by_key(|state| state.eviction_rank()) {
+            state.request_abort();
+        }
+    }
+
+    /// Begins the graceful shutdown of all connections. hyper (1.12, `Conn::disable_keep_alive` and `Dispatcher` of
+    /// `proto/h1`) then does one of three things:
+    ///
+    /// - A connection that rests between requests is closed for reading and writing in the call itself, whatever the
+    ///   kernel has received for it: nothing of that is read, let alone forwarded, and the client sends it again.
+    /// - So is a new connection of which nothing has been read.
+    /// - In any other an exchange is open, or the head of its first request is half read: that request is read and
+    ///   answered completely, with `Connection: close`; nothing after it is read as a request.
+    ///
+    /// So no request is taken whose response could not be written.
+    ///
+    /// A connection that was accepted just now has a request on its way: it is left alone, and ends with its
+    /// response.
+    pub(super) fn shut_down(&self) {
+        self.is_shutting_down.set(true);
+        for state in self.by_id.borrow().values() {
+            if !state.expects_request_soon() {
+                state.request_shutdown();
+            }
+        }
+    }
+}
--- a/limiter/src/frontend/mod.rs
+++ b/limiter/src/frontend/mod.rs
@@ -1,55 +1,27 @@
 //! The HTTP server towards clients.
 
+mod connection;
+mod connection_state;
+mod connections;
+mod read_ahead;
 mod request_body;
+mod request_handler;
 mod request_head;
 mod response;
 
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
-use std::convert::Infallible;
 use std::future::{poll_fn, Future};
-use std::io::{self, Read};
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::Poll;
 use std::time::Duration;
 
-use bytes::BytesMut;
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper::{Method, StatusCode};
-use hyper_util::rt::TokioIo;
-use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::Instant;
 
 use crate::engine::Engine;
-use crate::request::ForwardedRequest;
-use request_body::{read_body, RequestBodyError};
-use request_head::RequestHead;
-use response::ClientResponse;
+use connections::Connections;
 
-/// Longest head of a request.
-const MOST_HEAD: usize = 16 << 10;
-/// A client that has sent a part of a request, or has connected and said nothing, is cut off after this time
-/// from the first byte on, however it trickles.
-const PART_TIME: Duration = Duration::from_secs(2);
-/// One that has been answered and stays idle.
-const IDLE_TIME: Duration = Duration::from_secs(30);
-/// How often that is seen to.
-const SWEEP: Duration = Duration::from_millis(250);
-/// A connection may be cut for want of room after resting for so long since its last answer was written; one that has
-/// not asked yet, after this time for its request to come. While all rest, others wait to be accepted, and the time that
-/// this takes their clients is seen by nobody.
-const EVICT_IDLE: Duration = Duration::from_millis(50);
-const EVICT_SILENT: Duration = Duration::from_millis(100);
 /// How often it is seen whether there is room again, or an end to wait for.
 const TICK: Duration = Duration::from_millis(50);
-/// When no more requests are taken: one that asks nothing is closed.
-const DRAIN_IDLE: Duration = Duration::from_millis(500);
 /// A request that races with the end of its keep-alive connection comes once more on a new one: these are accepted for
 /// so much longer.
 const RESENT: Duration = Duration::from_millis(200);
@@ -58,234 +30,11 @@
 /// After SIGTERM: nothing is waited for any longer than this.
 const DRAIN_MOST: Duration = Duration::from_secs(20);
 
-/// What is read ahead of a request that comes behind an open one, at most. Clients send one at a time: what is
-/// more is dropped, and the connection ends with the answer.
-const MOST_AHEAD: usize = 32 << 10;
-/// An answer that its client does not read is kept for so long.
-const WRITE_TIME: Duration = Duration::from_secs(10);
-
-/// One client connection, as the others see it.
-struct Client {
-    /// A request of it is being taken in or answered, until the answer is written.
-    busy: Cell<bool>,
-    /// The body of that is still to come.
-    reading: Cell<bool>,
-    /// It has come whole, and its answer is awaited.
-    waiting: Cell<bool>,
-    /// Whether its client has left by then has been looked at.
-    looked: Cell<bool>,
-    /// The answer is there, and not written to its end.
-    writing: Cell<bool>,
-    /// More came behind an open request than is kept.
-    overrun: Cell<bool>,
-    used: Cell<Instant>,
-    /// When the request that has not come whole began; a new connection owes one from the start.
-    begun: Cell<Option<Instant>>,
-    /// Shut down gracefully.
-    close: Notify,
-    /// Close at once.
-    cut: Notify,
-}
-
-impl Client {
-    fn new() -> Client {
-        let now = Instant::now();
-        Client {
-            busy: Cell::new(false),
-            reading: Cell::new(false),
-            waiting: Cell::new(false),
-            looked: Cell::new(false),
-            writing: Cell::new(false),
-            overrun: Cell::new(false),
-            used: Cell::new(now),
-            begun: Cell::new(Some(now)),
-            close: Notify::new(),
-            cut: Notify::new(),
-        }
-    }
-
-    /// Bytes have come: the first of a request, unless they are its body.
-    fn heard(&self) {
-        if !self.reading.get() && self.begun.get().is_none() {
-            self.begun.set(Some(Instant::now()));
-        }
-    }
-
-    /// All that was to be written has been.
-    fn written(&self) {
-        if self.writing.replace(false) {
-            self.busy.set(false);
-            self.used.set(Instant::now());
-        }
-    }
-
-    /// It may be cut without the loss of an answer, or its client does not read that.
-    fn may_be_cut(&self) -> bool {
-        !self.busy.get() || (self.writing.get() && self.used.get().elapsed() > WRITE_TIME)
-    }
-}
-
-/// A client's stream, and what was read ahead of it.
-struct Ahead {
-    stream: TcpStream,
-    bytes: BytesMut,
-}
-
-/// A client's stream that tells when bytes come in (hyper says so only once a head is whole) and when all is written.
-struct Heard {
-    ahead: Rc<RefCell<Ahead>>,
-    client: Rc<Client>,
-}
-
-impl AsyncRead for Heard {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, to: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let ahead = &mut *self.ahead.borrow_mut();
-        if !ahead.bytes.is_empty() {
-            let some = ahead.bytes.len().min(to.remaining());
-            to.put_slice(&ahead.bytes.split_to(some));
-            return Poll::Ready(Ok(()));
-        }
-        let before = to.filled().len();
-        let done = Pin::new(&mut ahead.stream).poll_read(cx, to);
-        if to.filled().len() > before {
-            self.client.heard();
-        }
-        done
-    }
-}
-
-/// Waits for a client to leave while its request is open. hyper reads no further than to the first bytes behind an
-/// open request, so that it would never see the end behind them. The first look goes to the socket itself: a client
-/// that has waited for long to be accepted may have left before its request was read. tokio takes a new stream to be
-/// readable, and not to be after the first short read, before it has heard of the end from the system.
-fn poll_left(ahead: &RefCell<Ahead>, client: &Client, cx: &mut Context<'_>) -> Poll<()> {
-    let mut some = [0; 4096];
-    while client.waiting.get() {
-        let ahead = &mut *ahead.borrow_mut();
-        let read = if client.looked.get() {
-            let mut to = ReadBuf::new(&mut some);
-            match Pin::new(&mut ahead.stream).poll_read(cx, &mut to) {
-                Poll::Ready(done) => done.map(|()| to.filled().len()),
-                Poll::Pending => break,
-            }
-        } else {
-            match (&*SockRef::from(&ahead.stream)).read(&mut some) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                    client.looked.set(true);
-                    continue;
-                }
-                read => read,
-            }
-        };
-        match read {
-            Ok(length) if length > 0 => {
-                client.heard();
-                if ahead.bytes.len() + length > MOST_AHEAD {
-                    client.overrun.set(true);
-                } else if !client.overrun.get() {
-                    ahead.bytes.extend_from_slice(&some[..length]);
-                }
-            }
-            _ => return Poll::Ready(()),
-        }
-    }
-    Poll::Pending
-}
-
-impl AsyncWrite for Heard {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.ahead.borrow_mut().stream).poll_write(cx, data)
-    }
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        data: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.ahead.borrow_mut().stream).poll_write_vectored(cx, data)
-    }
-    fn is_write_vectored(&self) -> bool {
-        self.ahead.borrow().stream.is_write_vectored()
-    }
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        // hyper flushes once it has handed over all it has.
-        let done = Pin::new(&mut self.ahead.borrow_mut().stream).poll_flush(cx);
-        if done.is_ready() {
-            self.client.written();
-        }
-        done
-    }
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.ahead.borrow_mut().stream).poll_shutdown(cx)
-    }
-}
-
-/// The open client connections, by number.
-#[derive(Default)]
-struct Clients {
-    all: RefCell<BTreeMap<u64, Rc<Client>>>,
-    closed: Notify,
-    /// No more requests are taken.
-    closing: Cell<bool>,
-}
-
-impl Clients {
-    /// Cuts connections that have asked nothing, or sent a part of a request, for too long. A few passes a
-    /// second cost less than a timer for each request.
-    async fn sweep(&self) {
-        loop {
-            tokio::time::sleep(SWEEP).await;
-            let idle = if self.closing.get() { DRAIN_IDLE } else { IDLE_TIME };
-            for client in self.all.borrow().values().filter(|c| c.may_be_cut()) {
-                let part = client.begun.get().is_some_and(|at| at.elapsed() > PART_TIME);
-                if part || client.used.get().elapsed() > idle {
-                    client.cut.notify_one();
-                }
-            }
-        }
-    }
-
-    /// Whether an answer is owed or on its way. Connections that have not asked are not waited for: bad clients
-    /// open new ones without end, and a limiter that lingers for them is missed.
-    fn owe(&self) -> bool {
-        self.all.borrow().values().any(|c| c.busy.get() || c.begun.get().is_none())
-    }
-
-    /// Cuts a connection that has asked nothing yet or sent a part, the oldest first, else the one that has
-    /// been idle for longest. Guards against crowds that hold connections, or send a request's half, in place of the
-    /// clients that ask.
-    fn evict(&self) {
-        let all = self.all.borrow();
-        let may_go = |c: &&Rc<Client>| {
-            let patience = if c.begun.get().is_some() { EVICT_SILENT } else { EVICT_IDLE };
-            c.may_be_cut() && c.used.get().elapsed() > patience
-        };
-        let first = all.values().filter(may_go).min_by_key(|c| (c.begun.get().is_none(), c.used.get()));
-        if let Some(client) = first {
-            client.cut.notify_one();
-        }
-    }
-
-    /// Begins the graceful shutdown of all connections. hyper (1.12, `Conn::disable_keep_alive` and `Dispatcher` of
-    /// `proto/h1`) then does one of three things. One that rests between requests is closed for reading and writing in
-    /// the call itself, whatever the kernel has for it: nothing of that is read, let alone sent on, and the client
-    /// sends it again. So is a new one of which nothing has been read. In any other an exchange is open, or the head of
-    /// its first request half read: that is read and answered to its end, with `Connection: close`; after it nothing
-    /// is read as a request any more. So no request is taken whose answer could not be written.
-    ///
-    /// A connection that was made just now has a request on its way: it is left alone, and ends with its answer.
-    fn shut_down(&self) {
-        self.closing.set(true);
-        let new =
-            |c: &Client| !c.busy.get() && c.begun.get().is_some() && c.used.get().elapsed() < EVICT_SILENT;
-        self.all.borrow().values().filter(|c| !new(c)).for_each(|c| c.close.notify_one());
-    }
-}
-
 /// Lets everything that has come be read. After a stall (no CPU for a while) the timers go first: a wait for I/O that a
 /// stop broke off tells of no events, and tokio tries no read or accept before an event has told of it. Each yield of
 /// this runs the I/O engine once and no more than 61 of the tasks that were woken, hence the number.
-async fn read_all_that_came(clients: &Clients) {
-    let turns = 4 + clients.all.borrow().len() / 16;
+async fn read_all_that_came(clients: &Connections) {
+    let turns = 4 + clients.len() / 16;
     for _ in 0..turns {
         tokio::task::yield_now().await;
     }
@@ -296,13 +45,11 @@
 /// before it was really taken, not from the signal: in a process that stalled across them all would else go at once,
 /// and what came meanwhile would be lost.
 pub async fn serve(engine: &Rc<Engine>, listener: TcpListener, stop: impl Future<Output = &'static str>) {
-    let clients = Rc::new(Clients::default());
-    let sweeping = clients.clone();
-    tokio::task::spawn_local(async move { sweeping.sweep().await });
+    let clients = Rc::new(Connections::default());
+    tokio::task::spawn_local(clients.clone().sweep());
     // After SIGTERM clients go on using the connections they have: these are served for as long as there is time.
     let serving = Duration::from_secs_f64(engine.config().shutdown_accept_ms / 1000.0);
     let mut listener = Some(listener);
-    let mut number = 0u64;
     let mut failing = false;
     tokio::pin!(stop);
     let mut stopped: Option<Instant> = None;
@@ -310,9 +57,9 @@
     let mut refusing: Option<Instant> = None;
     let over = |since: Option<Instant>, time| since.is_some_and(|at| at.elapsed() >= time);
     loop {
-        let room = clients.all.borrow().len() < engine.config().max_client_connections;
+        let room = clients.len() < engine.config().max_client_connections;
         if !room {
-            clients.evict();
+            clients.evict_one();
         }
         let tick = stopped.is_some() || !room;
         if shut_down.is_none() && over(stopped, serving) {
@@ -324,15 +71,14 @@
             // What waits in the accept queue has been taken, perhaps with a request.
             for _ in 0..engine.config().max_client_connections {
                 let Some(stream) = next_in_accept_queue(&listener).await else { break };
-                number += 1;
-                open(engine, &clients, number, stream);
+                connection::spawn(engine, &clients, stream);
             }
             drop(listener);
             refusing = Some(Instant::now());
         }
-        if over(refusing, LAST_ACCEPTED) && !clients.owe() {
+        if over(refusing, LAST_ACCEPTED) && !clients.has_unanswered() {
             read_all_that_came(&clients).await;
-            if !clients.owe() {
+            if !clients.has_unanswered() {
                 return;
             }
         }
@@ -348,9 +94,8 @@
         tokio::select! {
             accepted = accept, if room => match accepted {
                 Ok((stream, _)) => {
-                    number += 1;
                     failing = false;
-                    open(engine, &clients, number, stream);
+                    connection::spawn(engine, &clients, stream);
                 }
                 // Out of descriptors, or the client has gone already: an idle connection makes way, and what
                 // waits to be accepted is taken a little later.
@@ -358,7 +103,7 @@
                     if !std::mem::replace(&mut failing, true) {
                         engine.log(&format!("accept failed: {e}"));
                     }
-                    clients.evict();
+                    clients.evict_one();
                     tokio::time::sleep(Duration::from_millis(10)).await;
                 }
             },
@@ -367,7 +112,7 @@
                 stopped = Some(Instant::now());
                 engine.start_shutdown();
             }
-            () = clients.closed.notified() => {}
+            () = clients.closed() => {}
             () = tokio::time::sleep(TICK), if tick => {}
         }
     }
@@ -386,95 +131,3 @@
         tokio::task::yield_now().await;
     }
 }
-
-fn open(engine: &Rc<Engine>, clients: &Rc<Clients>, number: u64, stream: TcpStream) {
-    let _ = stream.set_nodelay(true);
-    let client = Rc::new(Client::new());
-    clients.all.borrow_mut().insert(number, client.clone());
-    let (engine, clients) = (engine.clone(), clients.clone());
-    tokio::task::spawn_local(async move {
-        connection(&engine, &clients, &client, stream).await;
-        clients.all.borrow_mut().remove(&number);
-        clients.closed.notify_one();
-    });
-}
-
-async fn connection(engine: &Rc<Engine>, clients: &Rc<Clients>, client: &Rc<Client>, stream: TcpStream) {
-    let service = service_fn(|request| {
-        let (engine, clients, client) = (engine.clone(), clients.clone(), client.clone());
-        async move {
-            client.busy.set(true);
-            client.reading.set(true);
-            let mut answer = respond(&engine, &client, request).await;
-            if clients.closing.get() || client.overrun.get() {
-                response::close_connection(&mut answer);
-            }
-            client.reading.set(false);
-            client.writing.set(true);
-            client.used.set(Instant::now());
-            Ok::<_, Infallible>(answer)
-        }
-    });
-    let ahead = Rc::new(RefCell::new(Ahead { stream, bytes: BytesMut::new() }));
-    let stream = Heard { ahead: ahead.clone(), client: client.clone() };
-    let serving = http1::Builder::new()
-        .max_buf_size(MOST_HEAD)
-        .auto_date_header(false)
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(serving);
-    let mut closing = false;
-    loop {
-        tokio::select! {
-            biased;
-            // An error here is the client's: it left, or sent what is no HTTP.
-            _ = &mut serving => return,
-            // A request that came before this is taken first: after a stall that may need a turn of the I/O engine.
-            // Then the connection stays; a word to cut that is lost to another branch comes again.
-            () = async { client.cut.notified().await; tokio::task::yield_now().await } => {
-                if client.may_be_cut() { return }
-            }
-            () = poll_fn(|cx| poll_left(&ahead, client, cx)) => return,
-            () = client.close.notified(), if !closing => {
-                closing = true;
-                serving.as_mut().graceful_shutdown();
-            }
-        }
-    }
-}
-
-async fn respond(engine: &Rc<Engine>, client: &Client, request: hyper::Request<Incoming>) -> ClientResponse {
-    // What comes from here on, but for this request's body, belongs to the next one.
-    let begun = client.begun.take().unwrap_or_else(Instant::now);
-    if request.uri().path() == "/-/ready" {
-        let status = if engine.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-        return response::empty(status);
-    }
-    let (head, body) = request.into_parts();
-    let RequestHead { request, target, correlation_id, idempotency_key } =
-        match RequestHead::parse(&head, engine.config()) {
-            Ok(parsed) => parsed,
-            Err(error) => return response::reject(error.status(), error.to_string()),
-        };
-    let body = timeout_at(begun + PART_TIME, read_body(body)).await;
-    client.reading.set(false);
-    let body = match body.unwrap_or(Err(RequestBodyError::TimedOut)) {
-        Ok(body) if head.method == Method::GET && !body.is_empty() => {
-            Err(RequestBodyError::UnexpectedWithGet)
-        }
-        read => read,
-    };
-    let body = match body {
-        Ok(body) => body,
-        Err(error) => return response::reject(error.status(), error.to_string()),
-    };
-    let forwarded = ForwardedRequest { method: head.method, target, correlation_id, idempotency_key, body };
-    let Ok(pending) = engine.submit(forwarded, request) else {
-        let reason = "a request with this X-Correlation-Id is open";
-        return response::reject(StatusCode::CONFLICT, reason.to_owned());
-    };
-    client.waiting.set(true);
-    client.looked.set(false);
-    let answer = pending.wait().await;
-    client.waiting.set(false);
-    response::from_final(answer)
-}
