Take the graceful shutdown through explicit steps, apart from the accept loop

Cause: serve was one function of 76 lines; three optional moments told how far the shutdown had come, and an optional listener told the same once more. Change: Shutdown holds the moment of the signal and the step that is due next, each with the moment of the step before it; Acceptor holds the listener and empties the accept queue when it closes; server keeps the loop. Each of the checks stands in the order it had, so that steps that have fallen due together are still taken in one turn. Constants, yields and the branches of the select stay.

--- /dev/null
+++ b/limiter/src/frontend/server.rs
@@ -0,0 +1,52 @@
+//! The accept loop, from the start to the end of the graceful shutdown.
+
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+
+use super::acceptor::Acceptor;
+use super::connections::Connections;
+use super::shutdown::Shutdown;
+use crate::engine::Engine;
+
+/// How often the accept loop checks whether there is room again, or a step of the shutdown is due.
+const TICK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Accepts and serves connections until `stop` yields the name of a signal, then shuts down gracefully: shuts down
+/// the connections, closes the listener, and returns once all that was accepted is answered.
+///
+/// Awaited by `main`, whose runtime ends with it and cancels the tasks that are left. Cancelling this closes the
+/// listener and leaves the connections' tasks running.
+pub async fn serve(engine: &Rc<Engine>, listener: TcpListener, stop: impl Future<Output = &'static str>) {
+    let connections = Rc::new(Connections::default());
+    tokio::task::spawn_local(connections.clone().sweep());
+    let mut acceptor = Acceptor::new(engine.clone(), connections.clone(), listener);
+    let serve_after_signal = Duration::from_secs_f64(engine.config().shutdown_accept_ms / 1000.0);
+    let mut shutdown: Option<Shutdown> = None;
+    tokio::pin!(stop);
+    loop {
+        let has_room = acceptor.has_room();
+        if !has_room {
+            connections.evict_one();
+        }
+        if let Some(shutdown) = &mut shutdown {
+            if shutdown.advance(&connections, &mut acceptor).await {
+                return;
+            }
+        }
+        let needs_tick = shutdown.is_some() || !has_room;
+        // Each branch is safe to cancel: what it waits for is found again in the next turn.
+        tokio::select! {
+            accepted = acceptor.accept(), if has_room => acceptor.accepted(accepted).await,
+            signal = &mut stop, if shutdown.is_none() => {
+                engine.log(&format!("{signal}: shutting down"));
+                shutdown = Some(Shutdown::begin(serve_after_signal));
+                engine.start_shutdown();
+            }
+            () = connections.closed() => {}
+            () = tokio::time::sleep(TICK_INTERVAL), if needs_tick => {}
+        }
+    }
+}
--- /dev/null
+++ b/limiter/src/frontend/shutdown.rs
@@ -0,0 +1,99 @@
+//! The graceful shutdown, from the signal to the return of the server.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::acceptor::Acceptor;
+use super::connections::Connections;
+
+/// A request that races with the end of its keep-alive connection is sent again on a new one: new connections are
+/// accepted for this much longer.
+const RESENT_ACCEPT_TIME: Duration = Duration::from_millis(200);
+/// Left to the connections accepted last for their requests to be read.
+const LAST_ACCEPTED_READ_TIME: Duration = Duration::from_millis(50);
+/// Nothing is waited for any longer than this after the signal.
+const MAX_SHUTDOWN_TIME: Duration = Duration::from_secs(20);
+
+/// Turns of the I/O engine in which everything that has arrived is read, for few connections...
+const MIN_READ_TURNS: usize = 4;
+/// ...and one more turn for each of so many. A yield of a task runs the I/O engine once and no more than 61 of the
+/// tasks that were woken (tokio's event interval).
+const CONNECTIONS_PER_READ_TURN: usize = 16;
+
+/// Which step is due next. Each step counts its time from the moment at which the one before it was really taken, not
+/// from the signal: in a process that stalled across all of them, they would else all be taken at once, and what
+/// arrived meanwhile would be lost.
+enum NextStep {
+    /// Clients go on using the connections that they have, and open new ones: all are served while there is time.
+    ShutDownConnections,
+    /// The connections were shut down gracefully; new ones are accepted still.
+    CloseListener {
+        /// When the connections were shut down.
+        shut_down_at: Instant,
+    },
+    /// The listener is closed; the open requests are finished.
+    Return {
+        /// When the listener was closed.
+        closed_at: Instant,
+    },
+}
+
+/// A graceful shutdown in progress.
+pub(super) struct Shutdown {
+    signalled_at: Instant,
+    /// For how long after the signal all is served as before.
+    serve_for: Duration,
+    next_step: NextStep,
+}
+
+impl Shutdown {
+    /// A shutdown whose signal came now.
+    pub(super) fn begin(serve_for: Duration) -> Shutdown {
+        Shutdown { signalled_at: Instant::now(), serve_for, next_step: NextStep::ShutDownConnections }
+    }
+
+    /// Takes the steps that are due; whether the server is to return. Awaited by the accept loop, which accepts
+    /// nothing meanwhile, and never cancelled.
+    pub(super) async fn advance(&mut self, connections: &Connections, acceptor: &mut Acceptor) -> bool {
+        self.shut_down_connections_if_due(connections).await;
+        self.close_listener_if_due(acceptor).await;
+        self.all_is_finished(connections).await || self.signalled_at.elapsed() >= MAX_SHUTDOWN_TIME
+    }
+
+    async fn shut_down_connections_if_due(&mut self, connections: &Connections) {
+        let NextStep::ShutDownConnections = self.next_step else { return };
+        if self.signalled_at.elapsed() >= self.serve_for {
+            read_all_that_arrived(connections).await;
+            connections.shut_down();
+            self.next_step = NextStep::CloseListener { shut_down_at: Instant::now() };
+        }
+    }
+
+    async fn close_listener_if_due(&mut self, acceptor: &mut Acceptor) {
+        let NextStep::CloseListener { shut_down_at } = self.next_step else { return };
+        if shut_down_at.elapsed() >= RESENT_ACCEPT_TIME {
+            acceptor.close().await;
+            self.next_step = NextStep::Return { closed_at: Instant::now() };
+        }
+    }
+
+    async fn all_is_finished(&self, connections: &Connections) -> bool {
+        let NextStep::Return { closed_at } = self.next_step else { return false };
+        if closed_at.elapsed() < LAST_ACCEPTED_READ_TIME || connections.has_unanswered() {
+            return false;
+        }
+        read_all_that_arrived(connections).await;
+        !connections.has_unanswered()
+    }
+}
+
+/// Lets everything that has arrived be read. After a stall (no CPU for a while) timers fire first: a wait for I/O
+/// that a stop of the process interrupted reports no events, and tokio tries no read or accept before an event has
+/// reported it.
+async fn read_all_that_arrived(connections: &Connections) {
+    let turns = MIN_READ_TURNS + connections.len() / CONNECTIONS_PER_READ_TURN;
+    for _ in 0..turns {
+        tokio::task::yield_now().await;
+    }
+}
