Read the configuration in modules of one job each, with typed errors that name place and value

Cause: one function read file, environment, limits and shutdown times, gave its errors as strings and two times as a tuple; keys of discovery's entries were looked up one by one. An entry of the endpoint list is a serde type whose fields that cannot be read count as absent, and resolve_entry is private. Every bound and default is a named constant.

--- a/limiter/src/endpoints.rs
+++ b/limiter/src/endpoints.rs
@@ -1,20 +1,29 @@
 //! The endpoint list in discovery's JSON form, and its translation into endpoints with addresses.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
-use limiter_core::{Endpoint, EndpointState, ServerId};
+use limiter_core::{Endpoint, EndpointState, Millis, ServerId};
+use serde::de::{DeserializeOwned, Deserializer};
 use serde::Deserialize;
 use serde_json::Value;
 use simulator_adapter::wire::Names;
 
+/// Stands for the address of a server that takes no requests and has none.
+const NO_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+/// Stands for a zone that the settings do not name, which is no limiter's own.
+const FOREIGN_ZONE: u32 = u32::MAX;
+/// Weight of a server that has none in the list.
+const DEFAULT_WEIGHT: f64 = 1.0;
+
 /// A list of servers, or of changes to one, as discovery writes it.
 #[derive(Deserialize, Clone)]
 pub struct EndpointList {
     /// Number of the list; grows with each change.
     pub version: u64,
-    #[serde(default)]
-    full: bool,
-    servers: Vec<Value>,
+    #[serde(rename = "full", default)]
+    complete: bool,
+    #[serde(rename = "servers")]
+    entries: Vec<Value>,
 }
 
 /// A server and where it listens.
@@ -40,10 +49,11 @@
 impl EndpointList {
     /// The list with the zones' names resolved. An entry that cannot be read does not cost the others.
     pub fn resolve(&self, names: &Names) -> EndpointUpdate {
-        let resolve = |value: &Value| resolve_entry(value, |zone| names.zone(zone).ok());
-        let endpoints: Vec<ResolvedEndpoint> = self.servers.iter().filter_map(resolve).collect();
-        let invalid_entries = self.servers.len() - endpoints.len();
-        EndpointUpdate { complete: self.full, endpoints, invalid_entries }
+        let zone_index = |zone: &str| names.zone(zone).ok();
+        let resolve = |entry| resolve_entry(entry, zone_index);
+        let endpoints: Vec<ResolvedEndpoint> = self.entries.iter().filter_map(resolve).collect();
+        let invalid_entries = self.entries.len() - endpoints.len();
+        EndpointUpdate { complete: self.complete, endpoints, invalid_entries }
     }
 }
 
@@ -56,36 +66,62 @@
         let is_changed = |server: &ServerId| self.endpoints.iter().any(|e| e.endpoint.server == *server);
         let unchanged = earlier.endpoints.into_iter().filter(|e| !is_changed(&e.endpoint.server));
         let mut endpoints: Vec<ResolvedEndpoint> = unchanged.collect();
-        let present = |e: &ResolvedEndpoint| e.endpoint.state != EndpointState::Removed;
-        endpoints.extend(self.endpoints.into_iter().filter(present));
+        let is_present = |e: &ResolvedEndpoint| e.endpoint.state != EndpointState::Removed;
+        endpoints.extend(self.endpoints.into_iter().filter(is_present));
         EndpointUpdate { complete: true, endpoints, invalid_entries: self.invalid_entries }
     }
 }
 
-/// Reads one server. A field that cannot be read counts as absent; without its id or state an entry says nothing, nor
-/// does a serving one without an address. That a server leaves is taken in any case. Start times need no conversion, as
-/// the clock of the decisions counts Unix time.
-pub fn resolve_entry(value: &Value, zone: impl Fn(&str) -> Option<u32>) -> Option<ResolvedEndpoint> {
-    let text = |name: &str| value.get(name).and_then(Value::as_str);
-    let number = |name: &str| value.get(name).and_then(Value::as_f64);
-    let cell = value.get("cell").and_then(Value::as_u64).and_then(|cell| u32::try_from(cell).ok());
-    let state = match text("state")? {
+/// An entry as discovery writes it; what cannot be read of it counts as absent.
+#[derive(Deserialize)]
+struct Entry {
+    #[serde(default, deserialize_with = "lenient")]
+    id: Option<String>,
+    #[serde(default, deserialize_with = "lenient")]
+    state: Option<String>,
+    #[serde(rename = "addr", default, deserialize_with = "lenient")]
+    address: Option<String>,
+    #[serde(default, deserialize_with = "lenient")]
+    zone: Option<String>,
+    #[serde(default, deserialize_with = "lenient")]
+    cell: Option<u32>,
+    #[serde(default, deserialize_with = "lenient")]
+    weight: Option<f64>,
+    #[serde(rename = "started_ms", default, deserialize_with = "lenient")]
+    started_at: Option<Millis>,
+}
+
+/// A field's value, or none if it is not of the field's type.
+fn lenient<'de, D, T>(deserializer: D) -> Result<Option<T>, D::Error>
+where
+    D: Deserializer<'de>,
+    T: DeserializeOwned,
+{
+    let value = Value::deserialize(deserializer)?;
+    Ok(serde_json::from_value(value).ok())
+}
+
+/// Reads one entry. Without its id or state it says nothing, nor does that of a serving server without an address. That
+/// a server leaves is taken in any case. Start times need no conversion, as the clock of the decisions counts Unix time.
+fn resolve_entry(value: &Value, zone_index: impl Fn(&str) -> Option<u32>) -> Option<ResolvedEndpoint> {
+    // An array would be read as the fields in their order.
+    let entry = value.is_object().then(|| Entry::deserialize(value).ok())??;
+    let state = match entry.state?.as_str() {
         "active" => EndpointState::Serving,
         "left" => EndpointState::Removed,
         _ => EndpointState::Draining,
     };
-    let address = match text("addr").and_then(|address| address.parse().ok()) {
-        None if state != EndpointState::Serving => SocketAddr::from(([0, 0, 0, 0], 0)),
+    let address = match entry.address.and_then(|address| address.parse().ok()) {
+        None if state != EndpointState::Serving => NO_ADDRESS,
         address => address?,
     };
     let endpoint = Endpoint {
-        server: text("id")?.into(),
-        // A zone that the settings do not name is no limiter's own.
-        zone: text("zone").and_then(zone).unwrap_or(u32::MAX),
-        cell: cell.unwrap_or(0),
+        server: entry.id?.into(),
+        zone: entry.zone.and_then(|zone| zone_index(&zone)).unwrap_or(FOREIGN_ZONE),
+        cell: entry.cell.unwrap_or(0),
         state,
-        weight: number("weight").unwrap_or(1.0),
-        started_at: number("started_ms").unwrap_or(0.0),
+        weight: entry.weight.unwrap_or(DEFAULT_WEIGHT),
+        started_at: entry.started_at.unwrap_or(0.0),
     };
     Some(ResolvedEndpoint { endpoint, address })
 }
--- a/limiter/src/main.rs
+++ b/limiter/src/main.rs
@@ -23,7 +23,7 @@
 use tokio::runtime::{Builder, LocalOptions};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 
-use config::Config;
+use config::{Config, ConfigError};
 use discovery::Sources;
 use engine::Engine;
 use gossip::GossipSender;
@@ -40,8 +40,8 @@
     Runtime(io::Error),
     #[error("{name}: {error}")]
     Signal { name: &'static str, error: io::Error },
-    #[error("{0}")]
-    Config(String),
+    #[error(transparent)]
+    Config(#[from] ConfigError),
     #[error("cannot listen on {address}: {error}")]
     Listen { address: SocketAddr, error: io::Error },
     #[error("peer_listen {address}: {error}")]
@@ -85,7 +85,7 @@
 async fn run() -> Result<(), StartError> {
     // Before all else: until it is handled, a SIGHUP ends the program.
     let signals = Signals::install()?;
-    let config = Config::from_environment().map_err(StartError::Config)?;
+    let config = Config::from_environment()?;
     let listener = listen(config.listen)?;
     let gossip_socket = bind_gossip(config.peer_listen).await?;
     let servers = Servers::new(&config);
