Part the upstream into pool, connection and attempt, with typed errors of an attempt

Cause: one file held pool, connect, request, response and the attempt's life, and gave the decisions' outcomes from seven places; what a cancelled attempt drops, and when, was told in half a sentence. Change: pool.rs holds idle connections and their quarantine, and the permit that counts open ones; connection.rs connects, tests and drives one; attempt.rs sends a request and reads the response within bounds. AttemptError and ConnectError say why there is no response, and one function turns them into outcomes. A connection remembers that it has ended, in place of a flag handed along. The biased select, and why a request never has two attempts in flight, are described at the functions.

--- a/limiter/src/main.rs
+++ b/limiter/src/main.rs
@@ -98,7 +98,7 @@
         tokio::task::spawn_local(gossip::receive(engine.clone(), socket));
     }
     tokio::task::spawn_local(engine.clone().run_timers());
-    tokio::task::spawn_local(upstream::sweep(servers));
+    tokio::task::spawn_local(upstream::close_expired_connections(servers));
     tokio::task::spawn_local(discovery::watch(engine.clone(), sources.clone()));
     tokio::task::spawn_local(engine.clone().use_configured_list_after_patience());
     tokio::task::spawn_local(reload_on_hangup(signals.hangup, engine.clone(), sources));
--- /dev/null
+++ b/limiter/src/upstream/connection.rs
@@ -0,0 +1,116 @@
+//! A connection to a server.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Waker};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, Connection, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use super::pool::ConnectionPermit;
+use crate::request::MAX_BODY_BYTES;
+
+const ENOMEM: i32 = 12;
+const ENFILE: i32 = 23;
+const EMFILE: i32 = 24;
+const EADDRNOTAVAIL: i32 = 99;
+const ENOBUFS: i32 = 105;
+/// Errors of a connect that lie on this side. They say nothing about the server, which must not count as failing.
+const LOCAL_ERRORS: [i32; 5] = [ENOMEM, ENFILE, EMFILE, EADDRNOTAVAIL, ENOBUFS];
+
+/// The half of a connection that takes requests.
+pub type RequestSender = SendRequest<Full<Bytes>>;
+
+/// A connection with the future that does its input and output. No task owns that future: it makes progress only in
+/// [`PooledConnection::drive`], and dropping the connection closes the socket at once.
+pub struct PooledConnection {
+    sender: RequestSender,
+    driver: Connection<TokioIo<TcpStream>, Full<Bytes>>,
+    /// The driver has completed and must not be polled again.
+    is_closed: bool,
+    /// Given back last, when the socket is closed.
+    _permit: ConnectionPermit,
+}
+
+/// Why there is no connection to a server.
+#[derive(Debug, thiserror::Error)]
+pub enum ConnectError {
+    /// As many connections are open as may be, and none of them is idle.
+    #[error("no more connections may be open")]
+    NoPermit,
+    /// This host lacks descriptors, ports or memory.
+    #[error("connect failed: {0}")]
+    LocalResources(io::Error),
+    /// The server's host refused the connection or cannot be reached.
+    #[error("connect failed: {0}")]
+    Unreachable(io::Error),
+    /// The server's host did not answer in time.
+    #[error("connect timed out")]
+    TimedOut,
+    /// The connection is of no use for HTTP.
+    #[error("HTTP handshake failed: {0}")]
+    Handshake(hyper::Error),
+}
+
+impl PooledConnection {
+    /// Connects to a server. Dropping the future abandons the connect and gives the permit back.
+    ///
+    /// # Errors
+    /// [`ConnectError`], but never [`ConnectError::NoPermit`].
+    pub async fn connect(
+        address: SocketAddr,
+        connect_timeout: Duration,
+        permit: ConnectionPermit,
+    ) -> Result<PooledConnection, ConnectError> {
+        let stream = match timeout(connect_timeout, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) if is_local(&error) => return Err(ConnectError::LocalResources(error)),
+            Ok(Err(error)) => return Err(ConnectError::Unreachable(error)),
+            Err(_) => return Err(ConnectError::TimedOut),
+        };
+        // Without it requests are sent all the same, only later.
+        let _ = stream.set_nodelay(true);
+        let handshake = http1::Builder::new().max_buf_size(MAX_BODY_BYTES).handshake(TokioIo::new(stream));
+        let (sender, driver) = handshake.await.map_err(ConnectError::Handshake)?;
+        Ok(PooledConnection { sender, driver, is_closed: false, _permit: permit })
+    }
+
+    /// Whether the connection can take a request. Looks without waiting: sees what has arrived by now.
+    pub fn is_alive(&mut self) -> bool {
+        if self.is_closed {
+            return false;
+        }
+        let mut context = Context::from_waker(Waker::noop());
+        self.is_closed = Pin::new(&mut self.driver).poll(&mut context).is_ready();
+        !self.is_closed && self.sender.is_ready()
+    }
+
+    /// Runs an exchange while the connection does its input and output.
+    ///
+    /// The exchange is polled first, so that a response that is complete is returned even if the connection ends with
+    /// it. When the connection ends early, the exchange goes on until it has seen that. Dropping the future leaves the
+    /// exchange unfinished: the connection must be dropped with it.
+    pub async fn drive<T>(&mut self, exchange: impl AsyncFnOnce(&mut RequestSender) -> T) -> T {
+        let PooledConnection { sender, driver, is_closed, .. } = self;
+        let exchange = exchange(sender);
+        tokio::pin!(exchange);
+        loop {
+            tokio::select! {
+                biased;
+                output = &mut exchange => return output,
+                _ = &mut *driver, if !*is_closed => *is_closed = true,
+            }
+        }
+    }
+}
+
+fn is_local(error: &io::Error) -> bool {
+    error.raw_os_error().is_some_and(|code| LOCAL_ERRORS.contains(&code))
+}
