Part discovery into source, policy, backoff, call, framing and watch, with typed errors

Cause: one file held the watch with all that it needs; bounds of waits were tuples, a bool chose between two kinds of wait, and why a watch ended was a string that the log printed in Debug form. Change: a module each for WatchTarget and WatchSource, WatchPolicy with one constant a value, Backoff, the call with its connection's Drop guard, ObjectFramer, and Watch. What ends, is dropped or goes on when is described at the functions. Tests follow the names, each with its asserts.

--- a/limiter/src/discovery/tests.rs
+++ b/limiter/src/discovery/tests.rs
@@ -1,8 +1,16 @@
-use super::*;
+//! When discovery is called, by single limiters and by fleets, and the framing of what it announces.
 
-/// How discovery is asked by one of so many limiters.
-fn asked(limiters: u32) -> CallPolicy {
-    CallPolicy::of(&Settings { must_subscribe: true, limiters, ..fleet_settings() })
+use std::time::Duration;
+
+use limiter_core::Settings;
+
+use super::backoff::Backoff;
+use super::framing::{ObjectFramer, MAX_OBJECT_BYTES};
+use super::policy::{WatchPolicy, MAX_SILENCE};
+
+/// The policy of one of so many limiters that subscribe to the list.
+fn subscribed(limiters: u32) -> WatchPolicy {
+    WatchPolicy::new(&Settings { must_subscribe: true, limiters, ..fleet_settings() })
 }
 
 fn fleet_settings() -> Settings {
@@ -32,11 +40,11 @@
 fn most_calls_in_a_second(limiters: u32) -> usize {
     let mut calls = Vec::new();
     for limiter in 0..limiters {
-        let mut back_off = BackOff::new(asked(limiters), u64::from(limiter));
-        let mut at = back_off.next(true, Duration::ZERO);
+        let mut backoff = Backoff::new(subscribed(limiters), u64::from(limiter));
+        let mut at = backoff.after_success();
         while at < Duration::from_secs(20) {
             calls.push(at);
-            at += back_off.next(false, Duration::ZERO).max(Duration::from_millis(1));
+            at += backoff.after_failure(Duration::ZERO).max(Duration::from_millis(1));
         }
     }
     let second = Duration::from_secs(1);
@@ -56,40 +64,41 @@
 
 #[test]
 fn a_few_limiters_come_back_soon() {
-    let mut back_off = BackOff::new(asked(4), 1);
-    assert!(back_off.next(true, Duration::ZERO) <= Duration::from_millis(80));
-    assert!((0..20).all(|_| back_off.next(false, Duration::ZERO) <= Duration::from_secs(1)));
+    let mut backoff = Backoff::new(subscribed(4), 1);
+    assert!(backoff.after_success() <= Duration::from_millis(80));
+    assert!((0..20).all(|_| backoff.after_failure(Duration::ZERO) <= Duration::from_secs(1)));
 }
 
-/// The rules allow sends for 250 ms after the word that a server drains, and the agent counts as told whether or
-/// not a watch is open: however large the fleet, no time without one may be that long.
+/// The rules allow sends for 250 ms after the announcement that a server drains, and what the agent has counts as
+/// announced whether or not a watch is open: however large the fleet, no time without one may be that long.
 #[test]
 fn an_agent_is_called_again_at_once_whatever_the_fleet() {
-    let policy = CallPolicy::of(&fleet_settings());
-    let mut back_off = BackOff::new(policy, 1);
-    let longest = (0..50).map(|_| back_off.next(false, Duration::ZERO)).max().unwrap_or_default();
-    assert!(longest <= Duration::from_millis(50) && policy.at_once, "{longest:?}");
-    assert!(longest + policy.answer <= Duration::from_millis(250), "{:?}", policy.answer);
+    let policy = WatchPolicy::new(&fleet_settings());
+    let mut backoff = Backoff::new(policy, 1);
+    let longest = (0..50).map(|_| backoff.after_failure(Duration::ZERO)).max().unwrap_or_default();
+    assert!(longest <= Duration::from_millis(50) && policy.retry_silence_at_once, "{longest:?}");
+    assert!(longest + policy.response_timeout <= Duration::from_millis(250), "{:?}", policy.response_timeout);
 }
 
-/// One clock for silence: 6 s after a watch fell silent what it missed counts as told, where it is asked for too.
+/// One clock for silence: 6 s after a watch fell silent what it missed counts as announced, also where it is subscribed
+/// to.
 #[test]
 fn a_silent_watch_is_begun_anew_in_time_in_a_fleet_of_hundreds() {
-    let mut back_off = BackOff::new(asked(300), 1);
-    let longest = (0..50).map(|_| back_off.next(true, Duration::ZERO)).max().unwrap_or_default();
-    assert!(SILENCE + longest <= Duration::from_millis(5000), "{longest:?}");
+    let mut backoff = Backoff::new(subscribed(300), 1);
+    let longest = (0..50).map(|_| backoff.after_success()).max().unwrap_or_default();
+    assert!(MAX_SILENCE + longest <= Duration::from_millis(5000), "{longest:?}");
 }
 
-/// A change counts as told 6 s after discovery had it and could be reached, whatever failed before: refused at once,
-/// turned away after a wait, or never answered. From the beginning of a call to that of the next it takes at most 4 s,
+/// A change counts as announced 6 s after discovery had it and could be reached, whatever failed before: refused at
+/// once, rejected after a wait, or never answered. From the beginning of a call to that of the next it takes at most 4 s,
 /// so that 2 s are left for the answer.
 #[test]
 fn a_change_is_heard_in_time_whatever_failed_before() {
     for limiters in [4, 40, 300, 500] {
-        let policy = asked(limiters);
-        for took in [Duration::ZERO, Duration::from_secs(2), policy.answer] {
-            let mut back_off = BackOff::new(policy, 1);
-            let longest = (0..200).map(|_| back_off.next(false, took)).max().unwrap_or_default();
+        let policy = subscribed(limiters);
+        for took in [Duration::ZERO, Duration::from_secs(2), policy.response_timeout] {
+            let mut backoff = Backoff::new(policy, 1);
+            let longest = (0..200).map(|_| backoff.after_failure(took)).max().unwrap_or_default();
             assert!(
                 took + longest <= Duration::from_secs(4),
                 "{limiters} limiters: {took:?} and {longest:?}"
@@ -112,8 +121,8 @@
 fn calls_after_failures_are_not_in_step() {
     let waits: std::collections::BTreeSet<Duration> = (0..300)
         .map(|seed| {
-            let mut back_off = BackOff::new(asked(300), seed);
-            back_off.next(false, Duration::from_secs(2))
+            let mut backoff = Backoff::new(subscribed(300), seed);
+            backoff.after_failure(Duration::from_secs(2))
         })
         .collect();
     let spread = *waits.last().expect("some") - *waits.first().expect("some");
@@ -125,15 +134,15 @@
 }
 
 fn cut(text: &str, chunk: usize) -> Vec<String> {
-    let mut objects = Objects::default();
+    let mut framer = ObjectFramer::default();
     let mut all = Vec::new();
     for part in text.as_bytes().chunks(chunk) {
-        objects.push(part);
-        while let Ok(Some(object)) = objects.next() {
+        framer.push(part);
+        while let Ok(Some(object)) = framer.next_object() {
             all.push(String::from_utf8_lossy(&object).into_owned());
         }
     }
-    assert!(objects.between() || objects.next().is_err(), "{text:?} leaves a part");
+    assert!(framer.is_between_objects() || framer.next_object().is_err(), "{text:?} leaves a part");
     all
 }
 
@@ -145,8 +154,8 @@
         assert_eq!(cut(&text, chunk), [one, "{\"version\":5,\"servers\":[]}", one], "chunks of {chunk}");
     }
     assert!(cut("null\n", 5).is_empty());
-    let mut endless = Objects::default();
+    let mut endless = ObjectFramer::default();
     endless.push(b"{");
-    endless.push(&vec![b' '; MOST_OBJECT]);
-    assert!(endless.next().is_err());
+    endless.push(&vec![b' '; MAX_OBJECT_BYTES]);
+    assert!(endless.next_object().is_err());
 }
--- a/limiter/src/main.rs
+++ b/limiter/src/main.rs
@@ -24,7 +24,7 @@
 use tokio::signal::unix::{signal, Signal, SignalKind};
 
 use config::{Config, ConfigError};
-use discovery::Sources;
+use discovery::WatchTarget;
 use engine::Engine;
 use gossip::GossipSender;
 use upstream::Servers;
@@ -89,7 +89,7 @@
     let listener = listen(config.listen)?;
     let gossip_socket = bind_gossip(config.peer_listen).await?;
     let servers = Servers::new(&config);
-    let sources = Rc::new(Sources::new(config.discovery));
+    let watch_target = Rc::new(WatchTarget::new(config.discovery));
     let gossip = GossipSender::new(gossip_socket.clone(), config.peers.clone());
     let engine = Engine::new(config, Box::new(servers.clone()), Box::new(gossip))?;
     let address = listener.local_addr().map_err(StartError::LocalAddress)?;
@@ -99,9 +99,9 @@
     }
     tokio::task::spawn_local(engine.clone().run_timers());
     tokio::task::spawn_local(upstream::close_expired_connections(servers));
-    tokio::task::spawn_local(discovery::watch(engine.clone(), sources.clone()));
+    tokio::task::spawn_local(discovery::run(engine.clone(), watch_target.clone()));
     tokio::task::spawn_local(engine.clone().use_configured_list_after_patience());
-    tokio::task::spawn_local(reload_on_hangup(signals.hangup, engine.clone(), sources));
+    tokio::task::spawn_local(reload_on_hangup(signals.hangup, engine.clone(), watch_target));
     frontend::serve(&engine, listener, stop_signal(signals.terminate, signals.interrupt)).await;
     engine.log("stops");
     Ok(())
@@ -133,10 +133,10 @@
 
 /// Reads the configuration again on each SIGHUP. Only discovery's address can change while serving; a configuration
 /// that cannot be read changes nothing.
-async fn reload_on_hangup(mut hangup: Signal, engine: Rc<Engine>, sources: Rc<Sources>) {
+async fn reload_on_hangup(mut hangup: Signal, engine: Rc<Engine>, watch_target: Rc<WatchTarget>) {
     while hangup.recv().await.is_some() {
         match Config::reloaded() {
-            Ok(new) if sources.turn_to(new.discovery) => {
+            Ok(new) if watch_target.change_to(new.discovery) => {
                 engine.log(&format!("reload: discovery is at {} now", new.discovery));
             }
             Ok(_) => engine.log("reload: nothing new"),
