Say plainly what the configuration's bounds and errors mean

Cause: comments still spoke of what is told and held, and the error of a missing value said that a variable is not set, also on a reload, where ROUTER_DISCOVERY is set but does not count. Change: words of comments and of that one error, which names variable, key and file as before.

--- a/limiter/src/config/error.rs
+++ b/limiter/src/config/error.rs
@@ -31,8 +31,8 @@
         /// Names the key or the place in the file.
         error: serde_json::Error,
     },
-    /// A value stands neither in the environment nor in the file.
-    #[error("neither {variable} is set nor '{key}' in {path}")]
+    /// A value stands neither in the environment, as far as that counts, nor in the file.
+    #[error("neither {variable} nor '{key}' in {path} gives a value")]
     Missing {
         /// The variable that may hold it.
         variable: &'static str,
--- a/limiter/src/config/limits.rs
+++ b/limiter/src/config/limits.rs
@@ -10,9 +10,9 @@
 const RESERVED_DESCRIPTORS: usize = 16;
 /// Connections that the platform's limits have to leave room for.
 pub const MIN_CONNECTIONS: usize = 48;
-/// One connection of so many may be a client's.
+/// One connection of so many may be a client's; with [`SERVER_DIVISOR`] a sixth of them is left to spare.
 const CLIENT_DIVISOR: usize = 2;
-/// One connection of so many may be to a server: fewer than clients' ones, as servers' connections are shared.
+/// One connection of so many may be to a server.
 const SERVER_DIVISOR: usize = 3;
 
 /// Bounds on open connections.
--- a/limiter/src/config/mod.rs
+++ b/limiter/src/config/mod.rs
@@ -1,4 +1,4 @@
-//! What the limiter is told at its start: the JSON file of `ROUTER_CONFIG`, with single variables above it.
+//! The configuration: the JSON file that `ROUTER_CONFIG` names, with single variables that stand above it.
 
 mod error;
 mod file;
@@ -42,19 +42,19 @@
     pub discovery: SocketAddr,
     /// For random numbers.
     pub seed: u64,
-    /// Most client connections held.
+    /// Most open connections of clients.
     pub max_client_connections: usize,
-    /// Most connections to servers held.
+    /// Most open connections to servers.
     pub max_server_connections: usize,
-    /// Where peers' datagrams arrive.
+    /// Where gossip of other limiters arrives.
     pub peer_listen: Option<SocketAddr>,
-    /// Peers by their position, this limiter among them.
+    /// The limiters' gossip addresses by position, this limiter's among them.
     pub peers: Vec<SocketAddr>,
     /// The list of servers as it was last known; may be old.
     pub known_endpoints: Option<EndpointList>,
     /// Milliseconds after which an idle connection to a server is dropped.
     pub server_idle_ms: Millis,
-    /// For how long requests are taken after SIGTERM.
+    /// For how long requests are accepted after SIGTERM.
     pub shutdown_accept_ms: Millis,
     /// How long after SIGTERM all of them are answered.
     pub shutdown_response_ms: Millis,
--- a/limiter/src/upstream/attempt.rs
+++ b/limiter/src/upstream/attempt.rs
@@ -21,7 +21,7 @@
 const UNPROCESSED_TRUE: &str = "1";
 /// Units that the request really cost, with its first good response.
 const ACTUAL_COST: HeaderName = HeaderName::from_static("x-true-cost");
-/// Least time left that a server is told of, in seconds: the least that the header's three decimals can say.
+/// Least time left that is sent to a server, in seconds: the least that the header's three decimals can express.
 const MIN_TIME_LEFT_S: f64 = 0.001;
 
 /// Why an attempt has no response that can be judged.
@@ -51,7 +51,7 @@
 }
 
 impl AttemptError {
-    /// What the decisions are told of it.
+    /// The outcome that is reported to the decisions.
     pub fn outcome(&self) -> Outcome {
         match self {
             AttemptError::NotServing | AttemptError::TooLate | AttemptError::InvalidRequest(_) => {
