--- a/limiter/src/main.rs
+++ b/limiter/src/main.rs
@@ -23,8 +23,8 @@
 use tokio::runtime::{Builder, LocalOptions};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 
-use config::Config;
-use discovery::Sources;
+use config::{Config, ConfigError};
+use discovery::WatchTarget;
 use engine::Engine;
 use gossip::GossipSender;
 use upstream::Servers;
@@ -40,8 +40,8 @@
     Runtime(io::Error),
     #[error("{name}: {error}")]
     Signal { name: &'static str, error: io::Error },
-    #[error("{0}")]
-    Config(String),
+    #[error(transparent)]
+    Config(#[from] ConfigError),
     #[error("cannot listen on {address}: {error}")]
     Listen { address: SocketAddr, error: io::Error },
     #[error("peer_listen {address}: {error}")]
@@ -85,11 +85,11 @@
 async fn run() -> Result<(), StartError> {
     // Before all else: until it is handled, a SIGHUP ends the program.
     let signals = Signals::install()?;
-    let config = Config::from_environment().map_err(StartError::Config)?;
+    let config = Config::from_environment()?;
     let listener = listen(config.listen)?;
     let gossip_socket = bind_gossip(config.peer_listen).await?;
     let servers = Servers::new(&config);
-    let sources = Rc::new(Sources::new(config.discovery));
+    let watch_target = Rc::new(WatchTarget::new(config.discovery));
     let gossip = GossipSender::new(gossip_socket.clone(), config.peers.clone());
     let engine = Engine::new(config, Box::new(servers.clone()), Box::new(gossip))?;
     let address = listener.local_addr().map_err(StartError::LocalAddress)?;
@@ -98,10 +98,10 @@
         tokio::task::spawn_local(gossip::receive(engine.clone(), socket));
     }
     tokio::task::spawn_local(engine.clone().run_timers());
-    tokio::task::spawn_local(upstream::sweep(servers));
-    tokio::task::spawn_local(discovery::watch(engine.clone(), sources.clone()));
+    tokio::task::spawn_local(upstream::close_expired_connections(servers));
+    tokio::task::spawn_local(discovery::run(engine.clone(), watch_target.clone()));
     tokio::task::spawn_local(engine.clone().use_configured_list_after_patience());
-    tokio::task::spawn_local(reload_on_hangup(signals.hangup, engine.clone(), sources));
+    tokio::task::spawn_local(reload_on_hangup(signals.hangup, engine.clone(), watch_target));
     frontend::serve(&engine, listener, stop_signal(signals.terminate, signals.interrupt)).await;
     engine.log("stops");
     Ok(())
@@ -133,10 +133,10 @@
 
 /// Reads the configuration again on each SIGHUP. Only discovery's address can change while serving; a configuration
 /// that cannot be read changes nothing.
-async fn reload_on_hangup(mut hangup: Signal, engine: Rc<Engine>, sources: Rc<Sources>) {
+async fn reload_on_hangup(mut hangup: Signal, engine: Rc<Engine>, watch_target: Rc<WatchTarget>) {
     while hangup.recv().await.is_some() {
         match Config::reloaded() {
-            Ok(new) if sources.turn_to(new.discovery) => {
+            Ok(new) if watch_target.change_to(new.discovery) => {
                 engine.log(&format!("reload: discovery is at {} now", new.discovery));
             }
             Ok(_) => engine.log("reload: nothing new"),
