--- a/limiter-core/src/admission/mod.rs
+++ b/limiter-core/src/admission/mod.rs
@@ -2,10 +2,10 @@
 //! Query Processing Engines" (CASA).
 
 mod cost_classes;
-pub(crate) mod records;
+pub(crate) mod state;
 
 use crate::event::Millis;
-use records::Admission;
+use state::Admission;
 
 /// Slot limit at the start: generous; it binds once the error turns positive.
 pub(super) const INITIAL_SLOT_LIMIT: f64 = 4096.0;
--- a/limiter-core/src/endpoints/outlier.rs
+++ b/limiter-core/src/endpoints/outlier.rs
@@ -1,6 +1,6 @@
 //! Outlier detection: what is seen of a server's health, and when it is ejected.
 
-use super::records::{Endpoints, Health};
+use super::table::{Endpoints, Health};
 use crate::event::{EjectionReason, Millis, Outcome, ServerId};
 
 /// Weight of the newest latency or error in a server's smoothed figures.
@@ -45,7 +45,11 @@
     /// Books how an attempt ended; `timed_out` if it was cancelled for want of a response.
     pub(super) fn record(&mut self, now: Millis, outcome: Outcome, elapsed_ms: Millis, timed_out: bool) {
         match outcome {
-            Outcome::Ok => self.record_success(now, elapsed_ms),
+            Outcome::Ok => {
+                self.record_success(now, elapsed_ms);
+                // The next ejection is a short one again.
+                self.ejection_ms = if self.is_ejected(now) { self.ejection_ms } else { 0.0 };
+            }
             Outcome::Error => self.record_error(now),
             Outcome::Rejected => {
                 self.record_response(now);
--- a/limiter-core/src/endpoints/routing.rs
+++ b/limiter-core/src/endpoints/routing.rs
@@ -1,6 +1,6 @@
 //! The list of servers and the choice among them: subsets, predicted latency, zones.
 
-use super::records::{EndpointRecord, Endpoints};
+use super::table::{EndpointRecord, Endpoints};
 use crate::context::Context;
 use crate::event::{EndpointState, Millis, ServerId};
 use crate::request::records::PendingRequest;
--- a/limiter-core/src/endpoints/slow_start.rs
+++ b/limiter-core/src/endpoints/slow_start.rs
@@ -1,6 +1,6 @@
 //! Slow start: what a server that has just started is sent while it warms up, by all limiters together.
 
-use super::records::{Endpoints, SlowStart};
+use super::table::{Endpoints, SlowStart};
 use crate::context::Context;
 use crate::event::{Endpoint, Millis};
 use crate::hashing::{endpoint_hash, rendezvous_rank};
--- a/limiter-core/src/endpoints/records.rs
+++ b/limiter-core/src/endpoints/table.rs
@@ -1,8 +1,7 @@
-//! Records of the announced servers.
+//! The table of announced servers, and what this limiter has seen of each.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
-use super::departures::{MAX_DEPARTURES, RETENTION_MS};
 use super::outlier::NEWEST_WEIGHT;
 use super::routing::BASELINE_WEIGHT;
 use super::slow_start::WARM_THROUGHPUT_SPAN_MS;
@@ -68,9 +67,6 @@
         self.record_response(now);
         self.completions.add(now, 1.0);
         self.error_rate *= 1.0 - NEWEST_WEIGHT;
-        if !self.is_ejected(now) {
-            self.ejection_ms = 0.0;
-        }
         let weight = if self.latency_ms > 0.0 { NEWEST_WEIGHT } else { 1.0 };
         self.latency_ms += weight * (elapsed_ms - self.latency_ms);
     }
@@ -102,9 +98,7 @@
         let slow_start = SlowStart { warming_since: None, budget: TokenBucket::new(1.0, now) };
         EndpointRecord { endpoint, fingerprint: 0, in_flight: 0, health, slow_start }
     }
-}
 
-impl EndpointRecord {
     /// Whether it takes requests and is past its slow start.
     pub(super) fn is_warm_and_serving(&self) -> bool {
         !self.slow_start.is_warming() && self.endpoint.state == EndpointState::Serving
@@ -234,39 +228,3 @@
         serving.map(|record| record.endpoint.state = EndpointState::Draining).is_some()
     }
 }
-
-/// A server that drains or is gone.
-#[derive(Debug)]
-struct Departure {
-    heard_at: Millis,
-    fingerprint: u32,
-}
-
-/// Recent departures, the newest last, and the state of the polls.
-#[derive(Debug)]
-pub(crate) struct Departures {
-    /// Discovery does not answer.
-    pub discovery_lost: bool,
-    /// When a peer was last asked for departures.
-    pub(super) last_poll_at: Millis,
-    recent: VecDeque<Departure>,
-}
-
-impl Departures {
-    /// No departure yet.
-    pub fn new() -> Self {
-        Departures { discovery_lost: false, last_poll_at: f64::NEG_INFINITY, recent: VecDeque::new() }
-    }
-
-    /// Remembers a departure, once.
-    pub fn record(&mut self, now: Millis, fingerprint: u32) {
-        self.recent.retain(|d| now - d.heard_at < RETENTION_MS && d.fingerprint != fingerprint);
-        self.recent.push_back(Departure { heard_at: now, fingerprint });
-        self.recent.drain(..self.recent.len().saturating_sub(MAX_DEPARTURES));
-    }
-    /// Fingerprints of the servers that have departed recently.
-    pub fn recent(&self, now: Millis) -> impl Iterator<Item = u32> + '_ {
-        let recent = self.recent.iter().filter(move |d| now - d.heard_at < RETENTION_MS);
-        recent.map(|departure| departure.fingerprint)
-    }
-}
--- a/limiter-core/src/gossip/codec.rs
+++ b/limiter-core/src/gossip/codec.rs
@@ -58,7 +58,7 @@
 
 /// An amount; negative and infinite ones are not read.
 impl Field for f32 {
-    const BYTES: usize = std::mem::size_of::<f32>();
+    const BYTES: usize = size_of::<f32>();
     fn write(&self, body: &mut Vec<u8>) {
         self.to_bits().write(body);
     }
--- a/limiter-core/src/gossip/delivery.rs
+++ b/limiter-core/src/gossip/delivery.rs
@@ -111,7 +111,7 @@
             }
             GossipLine::DeparturesPoll => self.report_departures(from, out),
             GossipLine::Departed(fingerprint) if self.departures.discovery_lost => {
-                self.on_departure(fingerprint)
+                self.on_departure(fingerprint);
             }
             _ => {}
         }
--- a/limiter-core/src/limiter.rs
+++ b/limiter-core/src/limiter.rs
@@ -1,11 +1,13 @@
 //! The limiter: owns the parts that decide. `dispatch` routes events to them.
 
-use crate::admission::records::Admission;
+use crate::admission::state::Admission;
 use crate::context::Context;
-use crate::endpoints::records::{Departures, Endpoints};
+use crate::endpoints::departure_log::Departures;
+use crate::endpoints::table::Endpoints;
 use crate::event::{Millis, TimerToken};
 use crate::gossip::queue::GossipQueue;
-use crate::quota::records::{MemberQuotas, OwnedQuotas};
+use crate::quota::member_state::MemberQuotas;
+use crate::quota::owner_state::OwnedQuotas;
 use crate::request::records::{RequestTable, RetryBudget};
 use crate::settings::{Settings, SettingsError};
 
--- a/limiter-core/src/quota/member.rs
+++ b/limiter-core/src/quota/member.rs
@@ -1,8 +1,9 @@
 //! The member of a quota: its even share, probabilistic shedding, grant requests, decisions without an owner.
 
+use super::member_state::{MemberQuota, MemberQuotas};
 use super::owner::retention_ms;
 use super::placement;
-use super::records::{GrantKey, MemberQuota, MemberQuotas, MemberRange, QuotaKey};
+use super::records::{GrantKey, MemberRange, QuotaKey};
 use crate::context::Context;
 use crate::event::{Action, Millis, Request, RequestId, TimerToken};
 use crate::gossip::codec::{GossipLine, GrantReply, QuotaRequest};
--- a/limiter-core/src/quota/mod.rs
+++ b/limiter-core/src/quota/mod.rs
@@ -2,7 +2,9 @@
 //! buckets, and the members spend their even share or ask an owner for a grant.
 
 pub(crate) mod member;
+pub(crate) mod member_state;
 pub(crate) mod owner;
+pub(crate) mod owner_state;
 mod placement;
 pub(crate) mod records;
 
--- a/limiter-core/src/quota/owner.rs
+++ b/limiter-core/src/quota/owner.rs
@@ -1,7 +1,8 @@
 //! The owner of a quota: token buckets, grants, settlements and their expiry.
 
+use super::owner_state::{GrantRecord, OwnedQuotas, OwnerQuota};
 use super::placement::{owner_of, CEILING_FRACTIONS};
-use super::records::{GrantKey, GrantRecord, OwnedQuotas, OwnerQuota, QuotaKey};
+use super::records::{GrantKey, QuotaKey};
 use crate::context::Context;
 use crate::event::Millis;
 use crate::gossip::codec::{GrantReply, QuotaRequest, Settlement};
