Name the core's tests and their stand-ins by the behaviour that they specify

- One file per subject: admission, server_selection, request_lifecycle, quota_sharing, quota_owner, ceilings, gossip_messages, settings, slow_start, fleet, properties.
- TestLimiter, TestNetwork and TestFleet stand for one limiter, several with a network, and a fleet with servers and clients, each in a module of its own; tuples became structs.
- References to past incidents are sentences on the fault guarded against.

--- /dev/null
+++ b/limiter-core/tests/common/fixtures.rs
@@ -0,0 +1,136 @@
+//! Settings, servers and requests that the tests share.
+
+use std::sync::Arc;
+
+use limiter_core::*;
+
+/// Classes of [`settings`], by their idempotency.
+pub const IDEMPOTENT: usize = 0;
+pub const WITH_KEY: usize = 1;
+pub const NON_IDEMPOTENT: usize = 2;
+
+/// Plans of [`settings`], by the quota that they have.
+pub const WITH_RATE: usize = 0;
+pub const WITH_CEILING: usize = 1;
+pub const WITH_MAX_IN_FLIGHT: usize = 2;
+pub const UNLIMITED: usize = 3;
+
+/// Limiters of a deployment with [`settings`].
+pub const LIMITERS: u32 = 3;
+
+fn class(idempotency: Idempotency, late_value: f64) -> RequestClass {
+    RequestClass {
+        latency_objective_ms: 1000.0,
+        late_value,
+        idempotency,
+        dedup_scope: DedupScope::All,
+        dedup_window_ms: 3000.0,
+    }
+}
+
+const NO_QUOTA: Plan = Plan {
+    rate: 0.0,
+    burst: 0.0,
+    max_in_flight: 0,
+    ceiling_rate: 0.0,
+    ceiling_burst: 0.0,
+    ceiling_slack: 0.0,
+};
+
+/// Settings of one of three limiters; classes and plans by the constants above.
+pub fn settings(position: u32) -> Settings {
+    Settings {
+        limiters: LIMITERS,
+        position,
+        zone: 0,
+        classes: vec![
+            class(Idempotency::Idempotent, 0.0),
+            class(Idempotency::WithKey, 0.0),
+            class(Idempotency::NonIdempotent, 0.0),
+        ],
+        plans: vec![
+            Plan { rate: 6.0, burst: 12.0, ..NO_QUOTA },
+            // A rate quota far above the ceiling, so that the ceiling alone is tested.
+            Plan {
+                rate: 60.0,
+                burst: 300.0,
+                ceiling_rate: 12.0,
+                ceiling_burst: 60.0,
+                ceiling_slack: 3.0,
+                ..NO_QUOTA
+            },
+            Plan { max_in_flight: 6, ..NO_QUOTA },
+            NO_QUOTA,
+        ],
+        event_interval_ms: 4.0,
+        max_attempts: 3,
+        connect_timeout_ms: 250.0,
+        can_gossip: true,
+        can_cancel: true,
+        can_send_retry_after: false,
+        gossip_messages_per_s: 100.0,
+        must_subscribe: false,
+        cold_capacity_fraction: 0.2,
+        slow_start_ms: 10_000.0,
+        overload_factor: 3.0,
+        overload_ms: 2000.0,
+    }
+}
+
+/// Settings of one of `limiters` limiters.
+pub fn settings_among(limiters: u32, position: u32) -> Settings {
+    Settings { limiters, ..settings(position) }
+}
+
+/// Settings of a limiter that is alone in front of its servers.
+pub fn settings_of_only_limiter() -> Settings {
+    settings_among(1, 0)
+}
+
+pub fn server(n: u32) -> ServerId {
+    Arc::from(format!("10.0.0.{n}:80"))
+}
+
+/// A server that started long ago and takes requests.
+pub fn endpoint(n: u32) -> Endpoint {
+    let state = EndpointState::Serving;
+    Endpoint { server: server(n), zone: 0, cell: 0, state, weight: 1.0, started_at: 0.0 }
+}
+
+pub fn draining(n: u32) -> Endpoint {
+    Endpoint { state: EndpointState::Draining, ..endpoint(n) }
+}
+
+pub fn started_at(n: u32, started_at: Millis) -> Endpoint {
+    Endpoint { started_at, ..endpoint(n) }
+}
+
+/// A request of one unit of the same customer each time, who has all three limiters.
+pub fn request(id: RequestId, class: usize, plan: usize) -> Request {
+    Request {
+        id,
+        class,
+        plan,
+        customer: 7,
+        timeout_ms: 3000.0,
+        cost_units: 1.0,
+        member_count: LIMITERS,
+        first_member: 0,
+    }
+}
+
+/// The event that an attempt ended; only a good response finishes its request.
+pub fn attempt_ended(id: RequestId, attempt: u32, outcome: Outcome, elapsed_ms: Millis) -> Event {
+    let finished = outcome == Outcome::Ok;
+    Event::AttemptEnded { id, attempt, outcome, elapsed_ms, finished, actual_units: None }
+}
+
+/// The event that discovery has announced these servers and that the others are as they were.
+pub fn endpoints_changed(endpoints: Vec<Endpoint>) -> Event {
+    Event::EndpointsChanged { complete: false, endpoints: endpoints.into() }
+}
+
+/// The event that discovery has announced the complete endpoint list.
+pub fn endpoints_replaced(endpoints: Vec<Endpoint>) -> Event {
+    Event::EndpointsChanged { complete: true, endpoints: endpoints.into() }
+}
--- /dev/null
+++ b/limiter-core/tests/common/test_limiter.rs
@@ -0,0 +1,120 @@
+//! One limiter and its clock.
+
+use limiter_core::*;
+
+use super::{attempt_ended, endpoint, endpoints_changed, endpoints_replaced};
+
+/// How long an attempt has taken whose cancellation the limiter asked for.
+const CANCELLED_ATTEMPT_MS: Millis = 1000.0;
+
+struct Timer {
+    due_at: Millis,
+    token: TimerToken,
+}
+
+/// A limiter with a clock that the test advances. Timers fire when they are due, and an attempt that the limiter cancels
+/// ends at once.
+pub struct TestLimiter {
+    pub limiter: Limiter,
+    pub now: Millis,
+    timers: Vec<Timer>,
+}
+
+impl TestLimiter {
+    /// Starts a limiter before servers 0 to `servers`; its seed follows from its position.
+    pub fn new(settings: Settings, servers: u32) -> Self {
+        let seed = 1 + u64::from(settings.position);
+        TestLimiter::started_at(100_000.0, settings, seed, servers)
+    }
+
+    pub fn started_at(now: Millis, settings: Settings, seed: u64, servers: u32) -> Self {
+        let limiter = Limiter::new(settings, seed, now).expect("valid settings");
+        let mut started = TestLimiter { limiter, now, timers: Vec::new() };
+        started.replace_endpoints((0..servers).map(endpoint).collect());
+        started
+    }
+
+    /// Handles an event; starting timers and logging are left out of what comes back.
+    pub fn handle(&mut self, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.limiter.handle(self.now, event, &mut actions);
+        for action in &actions {
+            if let Action::SetTimer { after_ms, token } = action {
+                self.timers.push(Timer { due_at: self.now + after_ms, token: *token });
+            }
+        }
+        actions.retain(|action| !matches!(action, Action::SetTimer { .. } | Action::LogEjection(_)));
+        for event in self.ends_of_cancelled(&actions) {
+            actions.extend(self.handle(event));
+        }
+        actions
+    }
+
+    fn ends_of_cancelled(&self, actions: &[Action]) -> Vec<Event> {
+        let end = |action: &Action| match action {
+            Action::CancelAttempt { id, attempt } => {
+                Some(attempt_ended(*id, *attempt, Outcome::Cancelled, CANCELLED_ATTEMPT_MS))
+            }
+            _ => None,
+        };
+        actions.iter().filter_map(end).collect()
+    }
+
+    /// Timers that have been started and whose firing would still matter.
+    pub fn num_live_timers(&self) -> usize {
+        self.timers.iter().filter(|timer| self.limiter.is_live(timer.token)).count()
+    }
+
+    /// Lets time pass; the timers that are due by then fire in their order.
+    pub fn advance(&mut self, ms: Millis) -> Vec<Action> {
+        let end = self.now + ms;
+        let mut actions = Vec::new();
+        while let Some(timer) = self.next_timer(end) {
+            self.now = self.now.max(timer.due_at);
+            // A caller may leave out the firing of a timer that is not live: it must have no effect.
+            let is_live = self.limiter.is_live(timer.token);
+            let effects = self.handle(Event::TimerFired { token: timer.token });
+            assert!(is_live || effects.is_empty(), "a timer that was not live led to {effects:?}");
+            actions.extend(effects);
+        }
+        self.now = end;
+        actions
+    }
+
+    fn next_timer(&mut self, until: Millis) -> Option<Timer> {
+        let by_time = |a: &usize, b: &usize| self.timers[*a].due_at.total_cmp(&self.timers[*b].due_at);
+        let next = (0..self.timers.len()).min_by(by_time)?;
+        (self.timers[next].due_at <= until).then(|| self.timers.remove(next))
+    }
+
+    pub fn replace_endpoints(&mut self, endpoints: Vec<Endpoint>) -> Vec<Action> {
+        self.handle(endpoints_replaced(endpoints))
+    }
+
+    pub fn change_endpoints(&mut self, endpoints: Vec<Endpoint>) -> Vec<Action> {
+        self.handle(endpoints_changed(endpoints))
+    }
+
+    pub fn submit(&mut self, request: Request) -> Vec<Action> {
+        self.handle(Event::RequestArrived(request))
+    }
+
+    pub fn receive_gossip(&mut self, from: u32, body: Vec<u8>) -> Vec<Action> {
+        self.handle(Event::GossipReceived { from, body })
+    }
+
+    pub fn end_attempt(
+        &mut self,
+        id: RequestId,
+        attempt: u32,
+        outcome: Outcome,
+        elapsed_ms: Millis,
+    ) -> Vec<Action> {
+        self.handle(attempt_ended(id, attempt, outcome, elapsed_ms))
+    }
+
+    /// The first attempt of a request has a good response.
+    pub fn respond(&mut self, id: RequestId, elapsed_ms: Millis) -> Vec<Action> {
+        self.end_attempt(id, 0, Outcome::Ok, elapsed_ms)
+    }
+}
--- /dev/null
+++ b/limiter-core/tests/server_selection.rs
@@ -0,0 +1,105 @@
+//! Which server a request is forwarded to: the endpoint list, weights, slow start and the ejection of unhealthy servers.
+
+mod common;
+use std::collections::{BTreeSet, VecDeque};
+
+use common::*;
+use limiter_core::*;
+
+#[test]
+fn no_new_request_goes_to_a_draining_or_removed_server() {
+    for state in [EndpointState::Draining, EndpointState::Removed] {
+        let mut limiter = TestLimiter::new(settings(0), 2);
+        limiter.change_endpoints(vec![Endpoint { state, ..endpoint(0) }]);
+        assert_all_go_to(&mut limiter, server(1));
+    }
+}
+
+#[test]
+fn a_server_missing_from_a_complete_list_is_removed() {
+    let mut limiter = TestLimiter::new(settings(0), 2);
+    limiter.replace_endpoints(vec![endpoint(1)]);
+    assert_all_go_to(&mut limiter, server(1));
+}
+
+fn assert_all_go_to(limiter: &mut TestLimiter, only: ServerId) {
+    for id in 0..50 {
+        let servers = forwarded_to(&limiter.submit(request(id, IDEMPOTENT, UNLIMITED)));
+        assert!(servers.iter().all(|server| *server == only));
+    }
+}
+
+#[test]
+fn a_server_of_greater_weight_gets_more() {
+    let mut limiter = TestLimiter::new(settings(0), 0);
+    limiter.replace_endpoints(vec![endpoint(1), Endpoint { weight: 3.0, ..endpoint(2) }]);
+    let servers: Vec<_> =
+        (0..40).flat_map(|id| forwarded_to(&limiter.submit(request(id, IDEMPOTENT, UNLIMITED)))).collect();
+    let to_larger = servers.iter().filter(|to| **to == server(2)).count();
+    assert!((28..=32).contains(&to_larger), "three in four: {to_larger}");
+}
+
+#[test]
+fn a_server_in_slow_start_gets_only_its_share() {
+    let mut limiter = TestLimiter::new(settings(0), 3);
+    limiter.change_endpoints(vec![started_at(9, limiter.now)]);
+    let mut to_cold = 0;
+    for id in 0..200 {
+        let servers = forwarded_to(&limiter.submit(request(id, IDEMPOTENT, UNLIMITED)));
+        to_cold += servers.iter().filter(|to| **to == server(9)).count();
+        limiter.advance(10.0);
+        limiter.respond(id, 10.0);
+    }
+    // 100 a second over four servers for 2 s: an even share would be 50, a fifth to two fifths of it is right.
+    assert!((1..=20).contains(&to_cold), "{to_cold}");
+}
+
+/// Guards against the ejection of healthy servers for a few slow requests.
+#[test]
+fn one_slow_request_ejects_no_server() {
+    let mut limiter = TestLimiter::new(settings(0), 2);
+    for id in 0..4 {
+        limiter.submit(request(id, NON_IDEMPOTENT, UNLIMITED));
+    }
+    limiter.advance(450.0);
+    for id in 0..4 {
+        limiter.respond(id, 450.0);
+    }
+    let servers: BTreeSet<_> =
+        (10..20).flat_map(|id| forwarded_to(&limiter.submit(request(id, IDEMPOTENT, UNLIMITED)))).collect();
+    assert_eq!(servers.len(), 2);
+}
+
+/// An attempt at a healthy server, whose response is still to come.
+struct InFlightAttempt {
+    id: RequestId,
+    attempt: u32,
+}
+
+/// Guards against a server that attracts all requests because its errors come faster than the responses of others.
+#[test]
+fn a_server_that_fails_fast_is_ejected() {
+    let mut limiter = TestLimiter::new(settings(0), 3);
+    let mut num_failing = 0;
+    let mut at_healthy_servers = VecDeque::new();
+    for id in 0..400 {
+        let mut attempt = 0;
+        let mut servers = forwarded_to(&limiter.submit(request(id, IDEMPOTENT, UNLIMITED)));
+        while let Some(to) = servers.pop() {
+            if to != server(0) {
+                at_healthy_servers.push_back(InFlightAttempt { id, attempt });
+                break;
+            }
+            num_failing += 1;
+            servers = forwarded_to(&limiter.end_attempt(id, attempt, Outcome::Error, 1.0));
+            attempt += 1;
+        }
+        // The healthy servers are kept busy, so that the failing one looks free.
+        while at_healthy_servers.len() > 30 {
+            let InFlightAttempt { id, attempt } = at_healthy_servers.pop_front().expect("not empty");
+            limiter.end_attempt(id, attempt, Outcome::Ok, 100.0);
+        }
+        limiter.advance(5.0);
+    }
+    assert!((1..12).contains(&num_failing), "{num_failing} attempts went to the failing server");
+}
--- /dev/null
+++ b/limiter-core/tests/settings.rs
@@ -0,0 +1,23 @@
+//! Settings that cannot be served.
+
+mod common;
+use common::*;
+use limiter_core::*;
+
+fn assert_rejected(alter: fn(&mut Settings), named: &str) {
+    let mut settings = settings(0);
+    alter(&mut settings);
+    let error = Limiter::new(settings, 1, 0.0).expect_err("must be rejected");
+    assert!(error.to_string().contains(named), "{error}");
+}
+
+#[test]
+fn settings_that_cannot_be_served_are_rejected_with_the_value_named() {
+    assert_rejected(|settings| settings.limiters = 0, "limiters");
+    assert_rejected(|settings| settings.limiters = 70_000, "limiters");
+    assert_rejected(|settings| settings.position = 3, "position 3");
+    assert_rejected(|settings| settings.max_attempts = 0, "max_attempts");
+    assert_rejected(|settings| settings.classes[1].latency_objective_ms = 0.0, "class 1");
+    assert_rejected(|settings| settings.plans[0].rate = f64::NAN, "plan 0");
+    assert_rejected(|settings| settings.cold_capacity_fraction = 1.5, "cold_capacity_fraction");
+}
--- a/limiter-core/tests/slow_start.rs
+++ b/limiter-core/tests/slow_start.rs
@@ -1,95 +1,188 @@
-//! What all limiters together send to servers that have just started.
+//! What all limiters together forward to servers that have just started.
 
 mod common;
 
-use common::fleet::*;
+use std::collections::VecDeque;
+
 use common::*;
 use limiter_core::*;
 
 /// Servers at first.
 const SERVERS: u32 = 24;
-/// Requests a second that a warm server can do, and what it gets of them before the release and the burst.
-const CAPACITY: f64 = 5.0;
-const USED: f64 = 0.6;
-const BURST: f64 = 1.5;
+/// Servers that start during a test have numbers from here on.
+const FIRST_NEW_SERVER: u32 = 100;
+/// Requests a second that a warm server can do...
+const CAPACITY_PER_S: f64 = 5.0;
+/// ...and what arrives of that before the release, and in the burst after it.
+const LOAD_BEFORE: f64 = 0.6;
+const LOAD_IN_BURST: f64 = 1.5;
+
+fn settings_with_low_capacity(limiters: u32, position: u32) -> Settings {
+    Settings { cold_capacity_fraction: 0.15, ..settings_among(limiters, position) }
+}
 
-fn small_servers(limiters: u32, position: u32) -> Settings {
-    Settings { limiters, cold_capacity_fraction: 0.15, ..settings(position) }
+/// Some servers are draining, and as many have started.
+fn replacement(num_replaced: u32, started: Millis) -> Vec<Endpoint> {
+    let new_servers = FIRST_NEW_SERVER..FIRST_NEW_SERVER + num_replaced;
+    (0..num_replaced).map(draining).chain(new_servers.map(|n| started_at(n, started))).collect()
 }
 
-/// Some servers leave, and as many have started.
-fn successors(replaced: u32, started: Millis) -> Vec<Endpoint> {
-    let leaving = (0..replaced).map(|n| Endpoint { state: EndpointState::Draining, ..entry(n) });
-    leaving.chain((100..100 + replaced).map(|n| Endpoint { started_at: started, ..entry(n) })).collect()
+/// Attempts at one server within a window, against what it may get there.
+struct Window {
+    num_attempts: usize,
+    /// Attempts beyond the budget, and what is put down to chance.
+    excess: f64,
 }
 
-/// The most that a cold server got within the fall time beyond its budget there: N calls are allowed, by the
-/// capacity at the beginning of that time, and 2 x root N + 2 are put down to chance.
-fn most_beyond_budget(fleet: &Fleet, started: Millis) -> (f64, usize) {
-    let s = small_servers(1, 0);
-    let mut most = (f64::NEG_INFINITY, 0);
-    for n in 100..100 + SERVERS {
-        let sends: Vec<Millis> = fleet.sends.iter().filter(|(_, to)| *to == server(n)).map(|s| s.0).collect();
-        for (first, at) in sends.iter().enumerate() {
-            let within = sends[first..].iter().take_while(|t| **t < at + s.overload_ms).count();
-            let age = ((at - started) / s.slow_start_ms).min(1.0);
-            let capacity = CAPACITY * (s.cold_capacity_fraction + (1.0 - s.cold_capacity_fraction) * age);
-            let budget = s.overload_factor * capacity * s.overload_ms / 1000.0;
-            let beyond = within as f64 - (budget + 2.0 * budget.sqrt() + 2.0);
-            if beyond > most.0 {
-                most = (beyond, within);
+/// The window of `overload_ms` in which a cold server got the most beyond its budget. A server may get N attempts there,
+/// by its capacity at the beginning of the window, and 2 x root N + 2 more are put down to chance.
+fn worst_window(fleet: &TestFleet, started: Millis) -> Window {
+    let settings = settings_with_low_capacity(1, 0);
+    let mut worst = Window { num_attempts: 0, excess: f64::NEG_INFINITY };
+    for n in FIRST_NEW_SERVER..FIRST_NEW_SERVER + SERVERS {
+        let to_server = fleet.forwarded.iter().filter(|attempt| attempt.server == server(n));
+        let times: Vec<Millis> = to_server.map(|attempt| attempt.at).collect();
+        for (first, at) in times.iter().enumerate() {
+            let end = at + settings.overload_ms;
+            let num_attempts = times[first..].iter().take_while(|time| **time < end).count();
+            let budget = overload_budget(&settings, at - started);
+            let excess = num_attempts as f64 - (budget + 2.0 * budget.sqrt() + 2.0);
+            if excess > worst.excess {
+                worst = Window { num_attempts, excess };
             }
         }
     }
-    most
+    worst
+}
+
+/// Attempts within `overload_ms` under which a server fails that started `uptime_ms` ago.
+fn overload_budget(settings: &Settings, uptime_ms: Millis) -> f64 {
+    let progress = (uptime_ms / settings.slow_start_ms).min(1.0);
+    let cold = settings.cold_capacity_fraction;
+    let capacity_per_s = CAPACITY_PER_S * (cold + (1.0 - cold) * progress);
+    settings.overload_factor * capacity_per_s * settings.overload_ms / 1000.0
+}
+
+/// A release that replaces servers.
+struct Release {
+    seed: u64,
+    num_replaced: u32,
+    /// Time with hardly any requests before the burst.
+    pause_s: f64,
 }
 
-/// Servers are replaced, in a pause or not, and a burst follows; a tenth of the limiters starts again each second, and
-/// half of the requests come through a tenth of the limiters.
-fn release(limiters: u32, seed: u64, replaced: u32, pause_s: f64) -> (Fleet, Millis) {
-    let mut fleet = Fleet::with(limiters, SERVERS, seed, |p| small_servers(limiters, p));
-    fleet.capacity = CAPACITY;
-    let per_s = USED * CAPACITY * f64::from(SERVERS);
-    let busy = (limiters / 10).max(1);
-    let request = |id: RequestId| {
-        let member_count = if id.is_multiple_of(2) { busy } else { limiters };
-        Request { member_count, ..request(id, SAFE, FREE) }
-    };
-    fleet.play(per_s, 6.0, request);
-    let started = fleet.net.now;
-    fleet.list(successors(replaced, started));
-    fleet.play(per_s * 0.02, pause_s, request);
-    for second in 0..6 {
-        fleet.play(per_s * BURST, 1.0, request);
-        for p in (0..limiters).filter(|p| p % 10 == second) {
-            let seed = 1000 + u64::from(second * limiters + p);
-            fleet.answers.retain(|a| a.1 != p as usize);
-            fleet.net.restart(p as usize, small_servers(limiters, p), SERVERS, seed);
-            let list =
-                Event::EndpointsChanged { complete: false, endpoints: successors(replaced, started).into() };
-            let actions = fleet.net.give(p as usize, list);
-            fleet.take(p as usize, actions);
+impl Release {
+    /// Servers are replaced and a burst follows; a tenth of the limiters starts again each second, and half of the
+    /// requests come through a tenth of the limiters. Returns the fleet, and when the new servers started.
+    fn run(&self, limiters: u32) -> (TestFleet, Millis) {
+        let settings = |position| settings_with_low_capacity(limiters, position);
+        let mut fleet = TestFleet::with_settings(limiters, SERVERS, self.seed, settings);
+        fleet.server_capacity_per_s = CAPACITY_PER_S;
+        let requests_per_s = LOAD_BEFORE * CAPACITY_PER_S * f64::from(SERVERS);
+        let num_busy_limiters = (limiters / 10).max(1);
+        let request = |id: RequestId| {
+            let member_count = if id.is_multiple_of(2) { num_busy_limiters } else { limiters };
+            Request { member_count, ..request(id, IDEMPOTENT, UNLIMITED) }
+        };
+        fleet.run(requests_per_s, 6.0, request);
+        let started = fleet.network.now;
+        fleet.change_endpoints(replacement(self.num_replaced, started));
+        fleet.run(requests_per_s * 0.02, self.pause_s, request);
+        for second in 0..6 {
+            fleet.run(requests_per_s * LOAD_IN_BURST, 1.0, request);
+            for position in (0..limiters).filter(|position| position % 10 == second) {
+                let seed = 1000 + u64::from(second * limiters + position);
+                fleet.restart(position as usize, settings(position), SERVERS, seed);
+                let endpoints = replacement(self.num_replaced, started);
+                fleet.handle(position as usize, endpoints_changed(endpoints));
+            }
         }
+        (fleet, started)
     }
-    (fleet, started)
 }
 
+const RELEASES: [Release; 6] = [
+    Release { seed: 1, num_replaced: 8, pause_s: 0.0 },
+    Release { seed: 2, num_replaced: 16, pause_s: 0.0 },
+    Release { seed: 3, num_replaced: 20, pause_s: 0.0 },
+    Release { seed: 4, num_replaced: 22, pause_s: 0.0 },
+    Release { seed: 5, num_replaced: 8, pause_s: 1.0 },
+    Release { seed: 6, num_replaced: 20, pause_s: 1.0 },
+];
+
 #[test]
-fn a_cold_server_is_not_pushed_over_by_the_sum_of_all_limiters() {
+fn a_cold_server_is_not_overloaded_by_the_sum_of_all_limiters() {
     for limiters in [4, 20, 30, 100, 300] {
-        for (seed, replaced, pause_s) in
-            [(1, 8, 0.0), (2, 16, 0.0), (3, 20, 0.0), (4, 22, 0.0), (5, 8, 1.0), (6, 20, 1.0)]
-        {
-            let (fleet, started) = release(limiters, seed, replaced, pause_s);
-            let (beyond, within) = most_beyond_budget(&fleet, started);
-            let sent = fleet.sends_to(started, |n| n >= 100);
-            println!(
-                "{limiters} limiters, seed {seed}: {within} in a window, {beyond:.1} beyond; {sent} in all"
-            );
-            assert!(
-                beyond <= 0.0,
-                "{limiters} limiters, seed {seed}: {within} sends, {beyond:.1} beyond the budget"
-            );
+        for release in &RELEASES {
+            let (fleet, started) = release.run(limiters);
+            let Window { num_attempts, excess } = worst_window(&fleet, started);
+            let total = fleet.num_forwarded_to(started, |n| n >= FIRST_NEW_SERVER);
+            let case = format!("{limiters} limiters, seed {}: {num_attempts} in a window", release.seed);
+            println!("{case}, {excess:.1} beyond the budget; {total} in all");
+            assert!(excess <= 0.0, "{case}, {excess:.1} beyond the budget");
         }
     }
 }
+
+/// Attempts that forty limiters forwarded.
+struct Attempts {
+    /// At a server that has just started, in its worst 0.4 s.
+    at_cold_in_worst_window: u32,
+    /// A second, at a warm server.
+    at_warm_per_s: f64,
+}
+
+fn attempts_around_a_start(seed: u64) -> Attempts {
+    const LIMITERS: u32 = 40;
+    const SERVERS: u32 = 8;
+    const WARM: u32 = 2;
+    const COLD: u32 = 3;
+    /// The server starts before this request.
+    const ID_AT_START: RequestId = 1500;
+    let mut network = TestNetwork::new(LIMITERS, SERVERS, seed);
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let (mut worst, mut total, mut to_warm) = (0, 0, 0);
+    let mut recent = VecDeque::new();
+    for id in 0..3000 {
+        if id == ID_AT_START {
+            let restarted = started_at(COLD, network.now);
+            for limiter in 0..LIMITERS as usize {
+                network.handle(limiter, endpoints_changed(vec![restarted.clone()]));
+            }
+        }
+        let limiter = rng.usize(0..LIMITERS as usize);
+        let request = Request { customer: u64::from(id), ..request(id, IDEMPOTENT, UNLIMITED) };
+        for LimiterAction { action, .. } in network.submit(limiter, request) {
+            let Action::Forward { server: to, .. } = action else { continue };
+            if id >= ID_AT_START {
+                total += 1;
+                to_warm += u32::from(to == server(WARM));
+                if to == server(COLD) {
+                    recent.push_back(network.now);
+                }
+            }
+            network.respond(limiter, id, 20.0);
+        }
+        while recent.front().is_some_and(|at| network.now - at > 400.0) {
+            recent.pop_front();
+        }
+        worst = worst.max(recent.len() as u32);
+        network.advance(4.0);
+    }
+    let at_warm = to_warm.max(total / (2 * SERVERS));
+    Attempts { at_cold_in_worst_window: worst, at_warm_per_s: f64::from(at_warm) / 6.0 }
+}
+
+/// Guards against one attempt from each of many limiters, each harmless by itself, that together overload a server that
+/// has just started.
+#[test]
+fn a_cold_server_is_not_overloaded_by_many_limiters() {
+    for seed in 0..5 {
+        let Attempts { at_cold_in_worst_window, at_warm_per_s } = attempts_around_a_start(seed);
+        // Three times a fifth of what a warm server can do, which is more than it gets here.
+        assert!(
+            f64::from(at_cold_in_worst_window) <= at_warm_per_s,
+            "seed {seed}: {at_cold_in_worst_window} in the worst window, a warm one gets {at_warm_per_s} a second"
+        );
+    }
+}
