Test that a repeated quota request is debited once at the owner that it is sent to

Cause: the test took the first limiter that forwards at once for the owner of the quota. Members with units left do so too, so that it delivered the quota request to a limiter that is not its owner: there nothing is debited whatever comes, and the assertion could not fail. Change: it is delivered to the limiter that it is addressed to, and that it is debited there at all is asserted as well.

--- a/limiter-core/tests/gossip_messages.rs
+++ b/limiter-core/tests/gossip_messages.rs
@@ -64,20 +64,15 @@
 
 #[test]
 fn a_quota_request_that_comes_twice_is_debited_once() {
-    let admits = |position: &u32| {
-        let actions = TestLimiter::new(settings(*position), 3).submit(request(1, IDEMPOTENT, WITH_RATE));
-        is_forwarded(&actions)
-    };
-    let owner = (0..LIMITERS).find(admits).expect("one of three keeps the quota");
-    let member = (owner + 1) % LIMITERS;
-    let body = QuotaRequest::sent_by(member, WITH_RATE).expect("a quota request").body;
+    let QuotaRequest { from, to, body } = QuotaRequest::new(WITH_RATE);
     let num_admitted_after = |copies: usize| {
-        let mut limiter = TestLimiter::new(settings(owner), 3);
+        let mut owner = TestLimiter::new(settings(to), 3);
         for _ in 0..copies {
-            limiter.receive_gossip(member, body.clone());
-            limiter.advance(20.0);
+            owner.receive_gossip(from, body.clone());
+            owner.advance(20.0);
         }
-        (2..40).filter(|id| is_forwarded(&limiter.submit(request(*id, IDEMPOTENT, WITH_RATE)))).count()
+        (2..40).filter(|id| is_forwarded(&owner.submit(request(*id, IDEMPOTENT, WITH_RATE)))).count()
     };
+    assert_eq!(num_admitted_after(1) + 1, num_admitted_after(0), "it is debited");
     assert_eq!(num_admitted_after(1), num_admitted_after(5));
 }
