--- a/limiter-core/tests/admission.rs
+++ b/limiter-core/tests/admission.rs
@@ -35,7 +35,8 @@
     limiter
 }
 
-/// A limiter under pressure whose servers stayed slow for `rounds` tenths of a second more, while costly requests came.
+/// A limiter under pressure whose servers stayed slow for `rounds` tenths of a second more, while costly requests
+/// came.
 fn limiter_under_costly_load(rounds: u32) -> TestLimiter {
     let mut limiter = limiter_under_pressure();
     for round in 0..rounds {
--- a/limiter-core/tests/ceilings.rs
+++ b/limiter-core/tests/ceilings.rs
@@ -36,8 +36,8 @@
     assert!((1..=5).contains(&units), "4 units a second: {units}");
 }
 
-/// Guards against the rejections of a start: a ceiling starts as if spent, so that a limiter is ready for clients once it
-/// has filled, or at once where others serve already and a limiter less would be missed.
+/// Guards against the rejections of a start: a ceiling starts as if spent, so that a limiter is ready for clients
+/// once it has filled, or at once where others serve already and a limiter less would be missed.
 #[test]
 fn a_limiter_is_ready_once_its_ceilings_have_filled_or_others_serve() {
     let mut network = TestNetwork::new(LIMITERS, 3, 5);
@@ -81,8 +81,8 @@
     (0..LIMITERS).find(asks_nobody).expect("one of three is the first owner")
 }
 
-/// Units of a ceiling that its first owner grants within `ms` to one member that asks all the time, the two having run
-/// for `uptime_ms` before.
+/// Units of a ceiling that its first owner grants within `ms` to one member that asks all the time, the two having
+/// run for `uptime_ms` before.
 fn units_granted(uptime_ms: Millis, ms: u32) -> usize {
     let started_before = |position| {
         let mut limiter = TestLimiter::new(settings(position), 3);
@@ -117,8 +117,8 @@
     granted.difference(&spent_locally).count()
 }
 
-/// Outstanding grants count against the depth of the owner's bucket: spent late, they would come on top of what has been
-/// refilled.
+/// Outstanding grants count against the depth of the owner's bucket: spent late, they would come on top of what has
+/// been refilled.
 #[test]
 fn outstanding_grants_leave_less_room_to_refill() {
     // 0.62 of a bucket of 60 and of a slack of 3.
--- a/limiter-core/tests/common/test_limiter.rs
+++ b/limiter-core/tests/common/test_limiter.rs
@@ -12,8 +12,8 @@
     token: TimerToken,
 }
 
-/// A limiter with a clock that the test advances. Timers fire when they are due, and an attempt that the limiter cancels
-/// ends at once.
+/// A limiter with a clock that the test advances. Timers fire when they are due, and an attempt that the limiter
+/// cancels ends at once.
 pub struct TestLimiter {
     pub limiter: Limiter,
     pub now: Millis,
--- a/limiter-core/tests/fleet.rs
+++ b/limiter-core/tests/fleet.rs
@@ -41,8 +41,8 @@
     Request { member_count: FLEET_SIZE, ..request(id, IDEMPOTENT, UNLIMITED) }
 }
 
-/// Six in ten servers are replaced: what the fleet may forward to a cold one is forwarded, whichever limiters meet it,
-/// and no moment brings it more than it can stand.
+/// Six in ten servers are replaced: what the fleet may forward to a cold one is forwarded, whichever limiters meet
+/// it, and no moment brings it more than it can stand.
 #[test]
 fn cold_servers_get_their_share_from_the_whole_fleet_and_no_more() {
     let mut fleet = TestFleet::new(FLEET_SIZE, 60, 3);
@@ -90,9 +90,9 @@
     }
 }
 
-/// For some seconds no message arrives, so that each request asks its owners again and again, more than the allowance for
-/// messages lets through, and clients that are rejected come again. Guards against a queue that outlives this: replies
-/// that wait behind it come too late, are asked for again and keep it long.
+/// For some seconds no message arrives, so that each request asks its owners again and again, more than the allowance
+/// for messages lets through, and clients that are rejected come again. Guards against a queue that outlives this:
+/// replies that wait behind it come too late, are asked for again and keep it long.
 #[test]
 fn gossip_recovers_after_a_backlog_of_lost_quota_requests() {
     let mut fleet = TestFleet::new(200, 20, 5);
@@ -127,7 +127,8 @@
     assert!(fleet.network.messages_sent - messages_before > 3000, "owners are asked again");
 }
 
-/// A customer known to demand ten times its quota is held to a few times that by chance, though no owner keeps its quota.
+/// A customer known to demand ten times its quota is held to a few times that by chance, though no owner keeps its
+/// quota.
 #[test]
 fn a_greedy_customer_gains_little_while_all_owners_are_silent() {
     let mut fleet = TestFleet::new(FLEET_SIZE, 20, 8);
@@ -138,8 +139,8 @@
     assert!(units <= 3.0 * quota, "{units} units forwarded, {quota} allowed, ten times as much demanded");
 }
 
-/// One of 100 customers, each of 100 limiters of 300: one in ten demands three times its quota, one in five nearly all of
-/// it.
+/// One of 100 customers, each of 100 limiters of 300: one in ten demands three times its quota, one in five nearly
+/// all of it.
 fn of_customer_on_a_quiet_day(id: RequestId) -> Request {
     // Requests come in turns of 200 slots for 100 customers.
     let slot = u64::from(id) * 7919 % 200;
@@ -158,8 +159,8 @@
     }
 }
 
-/// On a quiet day hundreds of limiters together keep the quotas, though messages get lost and limiters start again with
-/// nothing: what passes beyond is at most a tenth of what passes inside.
+/// On a quiet day hundreds of limiters together keep the quotas, though messages get lost and limiters start again
+/// with nothing: what passes beyond is at most a tenth of what passes inside.
 #[test]
 fn three_hundred_limiters_keep_the_quotas_over_restarts_and_losses() {
     const LIMITERS: u32 = 300;
@@ -191,9 +192,10 @@
     assert!(inside >= 3500, "{inside} units inside the quotas were forwarded of some 4,500 demanded");
 }
 
-/// Endpoint lists are subscribed to, and discovery tells a third of the limiters that servers are draining while it fails
-/// the others: these learn it from their peers within the time after which a change counts as announced, 6 s, and
-/// forward nothing there. What a peer says of a server holds until discovery names it, and not for its next start.
+/// Endpoint lists are subscribed to, and discovery tells a third of the limiters that servers are draining while it
+/// fails the others: these learn it from their peers within the time after which a change counts as announced, 6 s,
+/// and forward nothing there. What a peer says of a server holds until discovery names it, and not for its next
+/// start.
 #[test]
 fn limiters_that_discovery_fails_learn_of_departed_servers_from_their_peers() {
     const LIMITERS: u32 = 60;
--- a/limiter-core/tests/gossip_messages.rs
+++ b/limiter-core/tests/gossip_messages.rs
@@ -26,7 +26,8 @@
     }
 }
 
-/// Guards against a limiter that goes on after a stall and replies to a backlog of quota requests that nobody waits for.
+/// Guards against a limiter that goes on after a stall and replies to a backlog of quota requests that nobody waits
+/// for.
 #[test]
 fn quota_requests_that_waited_through_a_stall_get_no_reply() {
     let QuotaRequest { from, to, body } = QuotaRequest::new(WITH_RATE);
--- a/limiter-core/tests/properties.rs
+++ b/limiter-core/tests/properties.rs
@@ -290,11 +290,7 @@
             }
             Step::Advance { ms } => self.advance(ms)?,
             Step::ChangeEndpoint { limiter, n, change } => {
-                let state = CHANGED_STATES[usize::from(change)];
-                self.limiters[limiter].observer.change_server(server(n), state);
-                let started_at = if change == CHANGE_RESTARTED { self.now } else { 0.0 };
-                let changed = Endpoint { state, started_at, ..endpoint(n) };
-                self.act(limiter, |limiter| limiter.change_endpoints(vec![changed]))?;
+                self.change_endpoint(limiter, n, change)?;
             }
             Step::Restart { limiter } => self.limiters[limiter] = self.start(limiter as u32),
             Step::Disconnect { limiter, pick } => {
@@ -310,6 +306,15 @@
         Ok(())
     }
 
+    fn change_endpoint(&mut self, limiter: usize, n: u32, change: u8) -> Result<(), TestCaseError> {
+        let state = CHANGED_STATES[usize::from(change)];
+        self.limiters[limiter].observer.change_server(server(n), state);
+        let started_at = if change == CHANGE_RESTARTED { self.now } else { 0.0 };
+        let changed = Endpoint { state, started_at, ..endpoint(n) };
+        self.act(limiter, |limiter| limiter.change_endpoints(vec![changed]))?;
+        Ok(())
+    }
+
     /// Lets time pass in short steps, so that each action is checked at its own time; gossip arrives at the end.
     fn advance(&mut self, ms: u16) -> Result<(), TestCaseError> {
         let mut gossip = Vec::new();
--- a/limiter-core/tests/quota_owner.rs
+++ b/limiter-core/tests/quota_owner.rs
@@ -48,8 +48,8 @@
     assert!(again <= 4, "{again}: the first one's is as spent as it was");
 }
 
-/// Submits a request to a limiter without a clock of its own; if it is forwarded, it has a good response. Returns whether
-/// it was forwarded.
+/// Submits a request to a limiter without a clock of its own; if it is forwarded, it has a good response. Returns
+/// whether it was forwarded.
 fn submit_and_respond(limiter: &mut Limiter, now: Millis, request: Request) -> bool {
     let (id, mut actions) = (request.id, Vec::new());
     limiter.handle(now, Event::RequestArrived(request), &mut actions);
--- a/limiter-core/tests/quota_sharing.rs
+++ b/limiter-core/tests/quota_sharing.rs
@@ -84,8 +84,8 @@
     assert!(messages_sent < 1200, "{messages_sent}");
 }
 
-/// Guards against excess load beyond a max-in-flight quota that is not shed and takes more messages than the allowance:
-/// those beyond it are lost.
+/// Guards against excess load beyond a max-in-flight quota that is not shed and takes more messages than the
+/// allowance: those beyond it are lost.
 #[test]
 fn excess_load_beyond_a_max_in_flight_quota_is_shed_too() {
     let mut network = TestNetwork::new(LIMITERS, 3, 5);
@@ -114,8 +114,8 @@
     assert_eq!(num_forwarded(&actions), 1, "what those that ended took is free again");
 }
 
-/// Guards against every request waiting for the reply of its quota owner: one of a customer whose quota is known to have
-/// units, or not known yet, is forwarded at once, and its owner counts it all the same.
+/// Guards against every request waiting for the reply of its quota owner: one of a customer whose quota is known to
+/// have units, or not known yet, is forwarded at once, and its owner counts it all the same.
 #[test]
 fn a_customer_with_units_left_does_not_wait_for_a_reply() {
     for plan in [WITH_RATE, WITH_CEILING] {
@@ -134,8 +134,8 @@
     assert!((12.0..=20.0).contains(&units), "{units}");
 }
 
-/// The time after which a reply counts as lost may grow while a quota request is out. Guards against a lost reply that
-/// is then never missed, so that its request waits until its latency objective.
+/// The time after which a reply counts as lost may grow while a quota request is out. Guards against a lost reply
+/// that is then never missed, so that its request waits until its latency objective.
 #[test]
 fn a_lost_reply_is_missed_also_when_round_trips_have_grown() {
     let mut network = TestNetwork::new(2, 3, 5);
--- a/limiter-core/tests/server_selection.rs
+++ b/limiter-core/tests/server_selection.rs
@@ -1,4 +1,5 @@
-//! Which server a request is forwarded to: the endpoint list, weights, slow start and the ejection of unhealthy servers.
+//! Which server a request is forwarded to: the endpoint list, weights, slow start and the ejection of unhealthy
+//! servers.
 
 mod common;
 use std::collections::{BTreeSet, VecDeque};
--- a/limiter-core/tests/slow_start.rs
+++ b/limiter-core/tests/slow_start.rs
@@ -34,8 +34,8 @@
     excess: f64,
 }
 
-/// The window of `overload_ms` in which a cold server got the most beyond its budget. A server may get N attempts there,
-/// by its capacity at the beginning of the window, and 2 x root N + 2 more are put down to chance.
+/// The window of `overload_ms` in which a cold server got the most beyond its budget. A server may get N attempts
+/// there, by its capacity at the beginning of the window, and 2 x root N + 2 more are put down to chance.
 fn worst_window(fleet: &TestFleet, started: Millis) -> Window {
     let settings = settings_with_low_capacity(1, 0);
     let mut worst = Window { num_attempts: 0, excess: f64::NEG_INFINITY };
@@ -173,8 +173,8 @@
     Attempts { at_cold_in_worst_window: worst, at_warm_per_s: f64::from(at_warm) / 6.0 }
 }
 
-/// Guards against one attempt from each of many limiters, each harmless by itself, that together overload a server that
-/// has just started.
+/// Guards against one attempt from each of many limiters, each harmless by itself, that together overload a server
+/// that has just started.
 #[test]
 fn a_cold_server_is_not_overloaded_by_many_limiters() {
     for seed in 0..5 {
