--- /dev/null
+++ b/limiter/tests/attempts.rs
@@ -0,0 +1,48 @@
+//! What the outcome of an attempt proves: whether the request may have run, and what its client is told.
+
+mod stubs;
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use stubs::*;
+
+/// 503 and 504 prove that nothing ran only with the mark; without it a request with a key must end as failed.
+#[test]
+fn a_rejection_counts_as_never_run_only_with_the_mark() {
+    for (mark, expected) in [("X-Unprocessed: 1\r\n", 429), ("", 502), ("X-Unprocessed: 0\r\n", 502)] {
+        for status_line in ["503 Busy", "504 Late"] {
+            let server = StubServer::new(move |_, stream| {
+                write!(stream, "HTTP/1.1 {status_line}\r\n{mark}Content-Length: 0\r\n\r\n").is_ok()
+            });
+            let node = NodeProcess::in_front_of(&server);
+            let response = node.request(&request_with_key("k", "x"));
+            assert_eq!(response.status, expected, "{status_line} {mark}");
+        }
+    }
+}
+
+/// A refused connection proves that nothing ran: the client is told that a retry is safe.
+#[test]
+fn a_refused_connection_ends_in_a_rejection() {
+    let server = StubServer::new(|_, _| false);
+    let node = NodeProcess::in_front_of(&server);
+    server.stop_listening();
+    assert!(TcpStream::connect(server.addr).is_err());
+    assert_eq!(node.request(&request_with_key("k", "x")).status, 429);
+}
+
+/// A server that takes a request and says nothing: one final response before the deadline, and the attempt's
+/// connection is closed, not pooled.
+#[test]
+fn an_unresponsive_server_costs_no_deadline() {
+    let server = StubServer::unresponsive();
+    let node = NodeProcess::in_front_of(&server);
+    let began = Instant::now();
+    let request = request_with_key("k", "x").replace("X-Time-Left: 3.0", "X-Time-Left: 0.6");
+    assert_eq!(node.request(&request).status, 502, "it may have run");
+    assert!(began.elapsed() < Duration::from_millis(1500), "{:?}", began.elapsed());
+    wait_for("the attempts to be closed", || server.num_closed() == server.num_connections());
+    assert!(server.max_open() == 1, "never two attempts at once");
+}
--- a/limiter/tests/client_disconnects.rs
+++ b/limiter/tests/client_disconnects.rs
@@ -1,242 +1,342 @@
 //! A client that closes its connection has gone: no attempt, first or further, may begin more than 0.1 s after. Each
-//! test has a client leave before the moment that would send its request on.
-
-#[path = "stubs/breaks.rs"]
-mod breaks;
-#[path = "stubs/leave.rs"]
-mod leave;
-#[path = "stubs/owner.rs"]
-mod owner;
+//! test has a client leave before the event that would have its request forwarded.
+
 mod stubs;
 
 use std::collections::HashSet;
-use std::io::{ErrorKind, Read, Write};
+use std::io::Write;
 use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
 use std::sync::Mutex;
-use std::time::Duration;
+use std::time::Instant;
 
-use breaks::*;
-use leave::*;
-use owner::*;
 use stubs::*;
 
-/// A quota owner's grant comes after the client has left. Guards against units spent and servers asked for nobody.
+/// A late response to a request whose client has left must not reach the next one on the connection.
+#[test]
+fn a_client_that_leaves_gets_nothing_and_harms_nobody() {
+    let server = StubServer::new(|request, stream| {
+        if request.body == "slow" {
+            pause_ms(300);
+        }
+        write_ok(stream, &request.body)
+    });
+    let node = NodeProcess::in_front_of(&server);
+    let leaving = node.send(&request_with_key("k1", "slow"));
+    wait_for("the request to arrive", || server.num_received() == 1);
+    drop(leaving);
+    for n in 0..10 {
+        let body = format!("fast{n}");
+        let response = node.request(&request_with_key(&format!("f{n}"), &body));
+        assert_eq!((response.status, response.body), (200, body));
+        pause_ms(50);
+    }
+}
+
+/// A server appears, and the request that waited is not forwarded to it.
+fn assert_nothing_is_forwarded(node: &NodeProcess, case: &str) {
+    let server = StubServer::responding("fine");
+    node.discovery.send(&list_change(2, &[serving("s-1", &server)]));
+    node.wait_ready();
+    assert!(server.received().is_empty(), "{case}: forwarded for nobody");
+}
+
+/// The end of a client that leaves reaches its waiting request whatever stands before it: bytes behind the request,
+/// and more of them than are kept. Guards against forwarding what nobody waits for.
+#[test]
+fn a_client_that_leaves_is_noticed_behind_what_it_sent() {
+    for (num_bytes, is_half_close) in [(0, false), (12, false), (12, true), (20_000, false), (300_000, true)]
+    {
+        let (node, mut client) = start_with_waiting_request();
+        let behind = vec![b'x'; num_bytes];
+        // In two parts: what comes first is read by those who look for a whole head alone.
+        let (first, second) = behind.split_at(num_bytes / 2);
+        client.write_all(first).expect("write");
+        assert!(has_open_request(&node));
+        client.write_all(second).expect("write");
+        if is_half_close {
+            client.shutdown(Shutdown::Write).expect("half a close");
+        } else {
+            drop(client);
+        }
+        wait_disconnect_noticed(&node);
+        assert_nothing_is_forwarded(&node, &format!("{num_bytes} bytes behind"));
+    }
+}
+
+/// A client with a response that it has not read: its close is a reset.
+fn client_with_unread_response(node: &NodeProcess) -> TcpStream {
+    let client = node.send(READINESS_REQUEST);
+    client.peek(&mut [0]).expect("a response that stays unread");
+    client
+}
+
+#[test]
+fn a_client_that_resets_is_noticed() {
+    let node = NodeProcess::with_endpoints(&[], holding_requests);
+    let mut client = client_with_unread_response(&node);
+    client.write_all(patient_request("c-1").as_bytes()).expect("write");
+    wait_for("the request to be taken", || has_open_request(&node));
+    drop(client);
+    wait_disconnect_noticed(&node);
+    assert_nothing_is_forwarded(&node, "after a reset");
+}
+
+/// A quota owner's grant comes after the client has left. Guards against units spent and servers called for nobody.
 #[test]
-fn a_late_grant_of_a_quota_owner_sends_nothing() {
-    let run = |how| {
-        let server = Stub::new(|_, stream| write_ok(stream, "fine"));
-        let (node, to, owner) = member(&server, r#""Rate":0.001,"StoreSize":0.001"#);
-        let client = send(&node, &foreign("c-1", "00000000b4d65522"));
-        let asked = receive(&owner).filter(|a| a[8] == 1).expect("a question");
-        let tell = || assert!(owner.send_to(&grant(&asked), to).is_ok());
-        let status = cross(&node, client, how, tell);
+fn a_late_grant_of_a_quota_owner_forwards_nothing() {
+    let run = |behaviour| {
+        let server = StubServer::responding("fine");
+        let (node, owner) = start_member(&server, r#""Rate":0.001,"StoreSize":0.001"#);
+        let client = node.send(&request_of_fleet_customer("c-1", CUSTOMER_OF_OWNER));
+        let quota_request = owner.receive_quota_request();
+        let status = race(&node, client, behaviour, || owner.send_grant(&quota_request));
         wait_for("the grant to be read", || {
-            tell();
-            receive(&owner).is_some_and(|m| m[8] == 2 || m[8] == 3)
+            owner.send_grant(&quota_request);
+            owner.receive().is_some_and(|message| message.is_grant_reply())
         });
-        (status, all_sent(node, &[server]))
+        (status, shut_down_and_collect_ids(node, &[server]))
     };
     // A grant that a busy machine holds up until the limiter has given its owners up is another matter.
-    wait_for("a grant in time", || run(Stays) == (Some(200), "c-1".to_string()));
-    for how in [Noticed, Unseen] {
-        assert_eq!(run(how), (None, String::new()), "{how:?}");
+    wait_for("a grant in time", || run(Stays) == (Some(200), vec!["c-1".to_string()]));
+    for behaviour in [LeavesNoticed, LeavesUnnoticed] {
+        assert_eq!(run(behaviour), (None, vec![]), "{behaviour:?}");
     }
 }
 
-/// The quota owners are silent, and their time runs out after the client has left: the even part then lets requests
+/// The quota owners are silent, and their time runs out after the client has left: the even share then lets requests
 /// through, as it does the next one.
 #[test]
-fn silent_quota_owners_send_nothing_for_a_client_that_has_left() {
-    let mut sent = None;
+fn silent_quota_owners_forward_nothing_for_a_client_that_has_left() {
+    let mut ids = None;
     wait_for("a request that still waits when the limiter is stopped", || {
-        let server = Stub::new(|_, stream| write_ok(stream, "fine"));
-        let (node, _, owner) = member(&server, r#""Rate":1000,"StoreSize":1000,"AtOnce":8"#);
-        let client = send(&node, &foreign("c-1", "00000000b4d65522"));
-        receive(&owner).filter(|a| a[8] == 1).expect("a question");
+        let server = StubServer::responding("fine");
+        let (node, owner) = start_member(&server, r#""Rate":1000,"StoreSize":1000,"AtOnce":8"#);
+        let client = node.send(&request_of_fleet_customer("c-1", CUSTOMER_OF_OWNER));
+        owner.receive_quota_request();
         node.signal("STOP");
-        std::thread::sleep(Duration::from_millis(100));
-        let waits = server.seen().is_empty();
+        pause_ms(100);
+        let waits = server.received().is_empty();
         drop(client);
         // Longer than all owners together are waited for.
-        std::thread::sleep(Duration::from_millis(1200));
+        pause_ms(1200);
         node.signal("CONT");
-        assert_eq!(ask(&node, &foreign("c-2", "0000000000000001")).status, 200);
-        sent = waits.then(|| all_sent(node, &[server]));
+        assert_eq!(node.request(&request_of_fleet_customer("c-2", "0000000000000001")).status, 200);
+        ids = waits.then(|| shut_down_and_collect_ids(node, &[server]));
         waits
     });
-    assert_eq!(sent.as_deref(), Some("c-2"));
+    assert_eq!(ids.as_deref(), Some(&["c-2".to_string()][..]));
 }
 
-/// An attempt ends without an answer, by a reset or a close: where the client stays, there is a retry.
+/// Asserts that the request c-1 had a retry if its client stayed, and none if it left; c-2 came after it.
+fn assert_retried_only_if_client_stays(
+    behaviour: ClientBehaviour,
+    status: Option<u16>,
+    ids: &[String],
+    case: &str,
+) {
+    if behaviour == Stays {
+        assert_eq!(status, Some(200), "{behaviour:?} {case}");
+        assert_eq!(ids, ["c-1", "c-1", "c-2"], "{behaviour:?} {case}");
+    } else {
+        assert_eq!(status, None, "{behaviour:?} {case}");
+        assert_eq!(ids, ["c-1", "c-2"], "{behaviour:?} {case}");
+    }
+}
+
+/// An attempt ends without a response, by a reset or a close: where the client stays, there is a retry.
 #[test]
 fn a_broken_attempt_is_not_retried_for_a_client_that_has_left() {
-    for (how, reset) in [Stays, Noticed, Unseen].into_iter().flat_map(|how| [(how, false), (how, true)]) {
-        let (gate, first) = (Gate::default(), AtomicUsize::new(0));
-        let held = gate.clone();
-        let breaks_off = move |seen: &Message, stream: &mut TcpStream| {
-            if id_of(seen) != "c-1" || first.fetch_add(1, SeqCst) > 0 {
-                return write_ok(stream, "fine");
-            }
-            held.wait();
-            if reset {
-                end_by_reset(stream);
-            }
-            false
-        };
-        let (servers, node, client) = with_an_attempt(2, breaks_off, &request("c-1"), patient);
-        let status = cross(&node, client, how, || gate.open());
-        assert_eq!(ask(&node, &request("c-2")).status, 200);
-        let expected = if how == Stays { (Some(200), "c-1 c-1 c-2") } else { (None, "c-1 c-2") };
-        assert_eq!((status, all_sent(node, &servers).as_str()), expected, "{how:?} {reset}");
+    for behaviour in [Stays, LeavesNoticed, LeavesUnnoticed] {
+        for is_reset in [false, true] {
+            let (gate, num_attempts) = (Gate::default(), AtomicUsize::new(0));
+            let breaks_off_at = gate.clone();
+            let respond = move |request: &HttpMessage, stream: &mut TcpStream| {
+                if request.correlation_id() != "c-1" || num_attempts.fetch_add(1, SeqCst) > 0 {
+                    return write_ok(stream, "fine");
+                }
+                breaks_off_at.wait();
+                if is_reset {
+                    reset_on_close(stream);
+                }
+                false
+            };
+            let InFlightRequest { servers, node, client } =
+                InFlightRequest::start(2, respond, &patient_request("c-1"), holding_requests);
+            let status = race(&node, client, behaviour, || gate.open());
+            assert_eq!(node.request(&patient_request("c-2")).status, 200);
+            let ids = shut_down_and_collect_ids(node, &servers);
+            assert_retried_only_if_client_stays(behaviour, status, &ids, &format!("reset: {is_reset}"));
+        }
     }
 }
 
-/// A server says nothing; after 0.4 of the aim its attempt is called off and retried at the other one, as the next
-/// client's is, unless the client has left.
+/// A server says nothing; after 0.4 of the latency objective its attempt is cancelled and retried at the other one,
+/// as the next client's is, unless the client has left.
 #[test]
-fn a_silent_server_is_not_retried_for_a_client_that_has_left() {
-    for how in [Noticed, Unseen] {
-        let firsts = Mutex::new(HashSet::new());
-        let silent = move |seen: &Message, stream: &mut TcpStream| {
-            if !firsts.lock().expect("lock").insert(id_of(seen)) {
+fn an_unresponsive_server_is_not_retried_for_a_client_that_has_left() {
+    for behaviour in [LeavesNoticed, LeavesUnnoticed] {
+        let seen_ids = Mutex::new(HashSet::new());
+        let respond = move |request: &HttpMessage, stream: &mut TcpStream| {
+            if !seen_ids.lock().expect("lock").insert(request.correlation_id()) {
                 return write_ok(stream, "fine");
             }
-            while stream.read(&mut [0; 64]).is_ok_and(|n| n > 0) {}
-            false
+            read_to_end_silently(stream)
+        };
+        let alter = |configuration: Configuration| {
+            configuration.with_latency_objective_ms(5000).with_rejecting_plan()
         };
-        let five = |c: String| patient(c).replace("600000", "5000");
-        let (servers, node, client) = with_an_attempt(2, silent, &request("c-1"), five);
+        let InFlightRequest { servers, node, client } =
+            InFlightRequest::start(2, respond, &patient_request("c-1"), alter);
         // Where the limiter is stopped, until the attempt's time is up.
-        let pause = Duration::from_millis(if how == Unseen { 2300 } else { 0 });
-        cross(&node, client, how, || std::thread::sleep(pause));
-        assert_eq!(ask(&node, &request("c-2")).status, 200, "later than the first one's time");
-        assert_eq!(all_sent(node, &servers), "c-1 c-2 c-2", "{how:?}");
+        let stall = if behaviour == LeavesUnnoticed { 2300 } else { 0 };
+        race(&node, client, behaviour, || pause_ms(stall));
+        assert_eq!(node.request(&patient_request("c-2")).status, 200, "later than the first one's time");
+        assert_eq!(shut_down_and_collect_ids(node, &servers), ["c-1", "c-2", "c-2"], "{behaviour:?}");
     }
 }
 
-const TURNED_AWAY: &[u8] = b"HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
-
-/// A request that was turned away is held, as no server takes work; there is room again after its client has left.
+/// A rejected request is queued, as no server takes requests; one does again after its client has left.
 #[test]
-fn a_held_request_is_not_sent_on_for_a_client_that_has_left() {
-    for how in [Stays, Noticed, Unseen] {
-        let (gate, first) = (Gate::default(), AtomicUsize::new(0));
-        let held = gate.clone();
-        let turns_away = move |_: &Message, stream: &mut TcpStream| {
-            if first.fetch_add(1, SeqCst) > 0 {
+fn a_queued_request_is_not_forwarded_for_a_client_that_has_left() {
+    for behaviour in [Stays, LeavesNoticed, LeavesUnnoticed] {
+        let (gate, num_attempts) = (Gate::default(), AtomicUsize::new(0));
+        let rejects_at = gate.clone();
+        let respond = move |_: &HttpMessage, stream: &mut TcpStream| {
+            if num_attempts.fetch_add(1, SeqCst) > 0 {
                 return write_ok(stream, "fine");
             }
-            held.wait();
-            stream.write_all(TURNED_AWAY).is_ok()
+            rejects_at.wait();
+            write_rejection(stream)
         };
-        let (servers, node, client) = with_an_attempt(1, turns_away, &request("c-1"), patient);
-        node.discovery.push(&line(2, false, &[("s-1", servers[0].addr, "leaving")]));
+        let InFlightRequest { servers, node, client } =
+            InFlightRequest::start(1, respond, &patient_request("c-1"), holding_requests);
+        let server = &servers[0];
+        node.discovery.send(&list_change(2, &[draining_at("s-1", server.addr)]));
         node.wait_log("Draining");
         gate.open();
-        wait_for("the connection to one that drains to be closed", || servers[0].closed_by_peer() == 1);
-        assert!(is_open(&node), "it is held");
-        let room = || node.discovery.push(&line(3, false, &[("s-1", servers[0].addr, "active")]));
-        let status = cross(&node, client, how, room);
-        wait_for("readiness", || ready(&node) == 200);
-        assert_eq!(ask(&node, &request("c-2")).status, 200);
-        let expected = if how == Stays { (Some(200), "c-1 c-1 c-2") } else { (None, "c-1 c-2") };
-        assert_eq!((status, all_sent(node, &servers).as_str()), expected, "{how:?}");
+        wait_for("the connection to one that drains to be closed", || server.num_closed() == 1);
+        assert!(has_open_request(&node), "it is queued");
+        let server_returns = || node.discovery.send(&list_change(3, &[serving("s-1", server)]));
+        let status = race(&node, client, behaviour, server_returns);
+        node.wait_ready();
+        assert_eq!(node.request(&patient_request("c-2")).status, 200);
+        let ids = shut_down_and_collect_ids(node, &servers);
+        assert_retried_only_if_client_stays(behaviour, status, &ids, "");
     }
 }
 
-/// Two requests are pipelined on one connection, and its client leaves as the server turns the first away, or answers
+/// Two requests are pipelined on one connection, and its client leaves as the server rejects the first, or answers
 /// it, in either order. Guards against another attempt, and against the second request being sent.
 #[test]
-fn a_pipelined_request_is_not_sent_for_a_client_that_has_left() {
-    let orders = [(Noticed, true), (Unseen, true), (Unseen, false)];
-    for (how, leaves_first) in orders {
-        for turned_away in [true, false] {
-            let (gate, told) = (Gate::default(), Gate::default());
-            let (held, written) = (gate.clone(), told.clone());
-            let answers = move |seen: &Message, stream: &mut TcpStream| {
-                if id_of(seen) != "c-1" || written.is_open() {
+fn a_pipelined_request_is_not_forwarded_for_a_client_that_has_left() {
+    for (behaviour, leaves_first) in
+        [(LeavesNoticed, true), (LeavesUnnoticed, true), (LeavesUnnoticed, false)]
+    {
+        for is_rejected in [true, false] {
+            let (gate, response_written) = (Gate::default(), Gate::default());
+            let (responds_at, written) = (gate.clone(), response_written.clone());
+            let respond = move |request: &HttpMessage, stream: &mut TcpStream| {
+                if request.correlation_id() != "c-1" || written.is_open() {
                     return write_ok(stream, "fine");
                 }
-                held.wait();
-                let away = turned_away && stream.write_all(TURNED_AWAY).is_ok();
-                let fine = away || write_ok(stream, "fine");
+                responds_at.wait();
+                let is_open = (is_rejected && write_rejection(stream)) || write_ok(stream, "fine");
                 written.open();
-                fine
+                is_open
             };
-            let both = request("c-1") + &request("c-1b");
-            let (servers, node, client) = with_an_attempt(1, answers, &both, patient);
-            let answer = || {
+            let pipelined = patient_request("c-1") + &patient_request("c-1b");
+            let InFlightRequest { servers, node, client } =
+                InFlightRequest::start(1, respond, &pipelined, holding_requests);
+            let server_responds = || {
                 gate.open();
-                told.wait();
+                response_written.wait();
             };
             if leaves_first {
-                cross(&node, client, how, answer);
+                race(&node, client, behaviour, server_responds);
             } else {
                 node.signal("STOP");
-                answer();
-                cross(&node, client, how, || ());
+                server_responds();
+                race(&node, client, behaviour, || ());
             }
-            assert_eq!(ask(&node, &request("c-2")).status, 200);
-            assert_eq!(all_sent(node, &servers), "c-1 c-2", "{how:?} {leaves_first} {turned_away}");
+            assert_eq!(node.request(&patient_request("c-2")).status, 200);
+            let ids = shut_down_and_collect_ids(node, &servers);
+            assert_eq!(ids, ["c-1", "c-2"], "{behaviour:?} {leaves_first} {is_rejected}");
         }
     }
 }
 
-/// A hundred clients ask and leave while the limiter is stopped; what of theirs was sent on.
-fn sent_of_a_burst(body: Option<usize>, kept: usize) -> String {
-    let warm = AtomicUsize::new(0);
-    let server = Stub::new(move |seen, stream| {
-        if id_of(seen).starts_with("c-warm") {
-            warm.fetch_add(1, SeqCst);
-            wait_for("all connections to be in use", || warm.load(SeqCst) >= kept);
-        }
-        write_ok(stream, "fine")
-    });
-    let node = Node::with(&[("s-1", &server, "active")], patient);
-    let mut users: Vec<_> = (0..kept).map(|n| send(&node, &request(&format!("c-warm{n}")))).collect();
-    users.iter_mut().for_each(|client| assert_eq!(read_answer(client).status, 200));
-    let text = |n: usize| match body {
-        Some(length) => post("book", &format!("gone{n}"), "", &"x".repeat(length)),
-        None => request(&format!("c-gone{n}")),
-    };
-    // Those that reset have something unread.
-    let unread = |n: usize| {
-        let client = send(&node, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
-        client.peek(&mut [0]).expect("an answer");
-        (n, client)
-    };
-    let resetting: Vec<_> = (75..100).map(unread).collect();
-    node.signal("STOP");
-    let mut halves = Vec::new();
-    for n in 0..75 {
-        let behind = if n % 3 == 1 { request(&format!("c-gone{n}b")) } else { String::new() };
-        let client = send(&node, &(text(n) + &behind));
-        if n % 3 != 2 {
-            client.shutdown(Shutdown::Write).expect("half a close");
-            halves.push(client);
+/// A hundred clients that send a request and leave while the limiter is stopped.
+#[derive(Debug)]
+struct LeavingBurst {
+    /// Length of the requests' bodies, if they have any.
+    body: Option<usize>,
+    /// Connections to the server that are at hand.
+    num_kept_connections: usize,
+}
+
+impl LeavingBurst {
+    fn request(&self, n: usize) -> String {
+        match self.body {
+            Some(length) => request_with_key(&format!("gone{n}"), &"x".repeat(length)),
+            None => patient_request(&format!("c-gone{n}")),
         }
     }
-    for (n, mut client) in resetting {
-        client.write_all(text(n).as_bytes()).expect("write");
+
+    /// A server that has had `num_kept_connections` requests at once, and the program in front of it.
+    fn start(&self) -> (StubServer, NodeProcess) {
+        let (num_kept, num_warm) = (self.num_kept_connections, AtomicUsize::new(0));
+        let server = StubServer::new(move |request, stream| {
+            if request.correlation_id().starts_with("c-warm") {
+                num_warm.fetch_add(1, SeqCst);
+                wait_for("all connections to be in use", || num_warm.load(SeqCst) >= num_kept);
+            }
+            write_ok(stream, "fine")
+        });
+        let node = NodeProcess::with_server(&server, holding_requests);
+        let mut clients: Vec<TcpStream> =
+            (0..num_kept).map(|n| node.send(&patient_request(&format!("c-warm{n}")))).collect();
+        clients.iter_mut().for_each(|client| assert_eq!(read_response(client).status, 200));
+        (server, node)
     }
-    std::thread::sleep(Duration::from_millis(200));
-    node.signal("CONT");
-    for mut client in halves {
-        client.set_read_timeout(Some(Duration::from_secs(20))).expect("time-out");
-        let ended = client.read_to_end(&mut Vec::new());
-        assert!(!ended.is_err_and(|e| e.kind() == ErrorKind::WouldBlock), "not closed");
+
+    /// The ids of the requests that were forwarded though their clients have left.
+    fn forwarded_ids(&self) -> Vec<String> {
+        let (server, node) = self.start();
+        let resetting: Vec<_> = (75..100).map(|n| (n, client_with_unread_response(&node))).collect();
+        node.signal("STOP");
+        let mut half_closed = Vec::new();
+        for n in 0..75 {
+            let behind = if n % 3 == 1 { patient_request(&format!("c-gone{n}b")) } else { String::new() };
+            let client = node.send(&(self.request(n) + &behind));
+            if n % 3 != 2 {
+                client.shutdown(Shutdown::Write).expect("half a close");
+                half_closed.push(client);
+            }
+        }
+        for (n, mut client) in resetting {
+            client.write_all(self.request(n).as_bytes()).expect("write");
+        }
+        pause_ms(200);
+        node.signal("CONT");
+        for mut client in half_closed {
+            read_until_closed(&mut client, Instant::now());
+        }
+        assert_eq!(node.request(&patient_request("c-2")).status, 200);
+        let mut ids = shut_down_and_collect_ids(node, &[server]);
+        ids.retain(|id| id.contains("gone"));
+        ids
     }
-    assert_eq!(ask(&node, &request("c-2")).status, 200);
-    let sent = all_sent(node, &[server]);
-    sent.split(' ').filter(|id| id.contains("gone")).collect::<Vec<_>>().join(" ")
 }
 
-/// The limiter finds whole requests with their ends behind them: closes, half closes, resets, with and without bytes in
-/// between; with connections to the server at hand and without.
+/// The limiter finds whole requests with their ends behind them: closes, half closes, resets, with and without bytes
+/// in between; with connections to the server at hand and without.
 #[test]
-fn a_burst_of_leaving_clients_sends_nothing() {
-    let all = [(None, 0), (None, 8), (Some(5), 0), (Some(5), 8), (Some(40_000), 8)];
-    let sent: Vec<_> = all.map(|(body, kept)| (body, kept, sent_of_a_burst(body, kept))).into();
-    assert!(sent.iter().all(|s| s.2.is_empty()), "length of the body, kept connections, sent: {sent:?}");
+fn a_burst_of_leaving_clients_forwards_nothing() {
+    let bursts = [(None, 0), (None, 8), (Some(5), 0), (Some(5), 8), (Some(40_000), 8)];
+    let forwarded: Vec<_> = bursts
+        .map(|(body, num_kept_connections)| LeavingBurst { body, num_kept_connections })
+        .map(|burst| (burst.forwarded_ids(), burst))
+        .into();
+    assert!(forwarded.iter().all(|(ids, _)| ids.is_empty()), "{forwarded:?}");
 }
--- a/limiter/tests/malformed_responses.rs
+++ b/limiter/tests/malformed_responses.rs
@@ -1,143 +1,191 @@
-//! Answers that break off, never end or are too much, and clients that are slow: a part of an answer is never served,
-//! never given to another request, and never proves that a request has not run.
+//! Responses that break off, never end or are too much: a part of a response is never served, never given to another
+//! request, and never proves that a request has not run.
 
-#[path = "stubs/breaks.rs"]
-mod breaks;
 mod stubs;
 
 use std::io::Write;
-use std::net::TcpStream;
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
 
-use breaks::*;
 use stubs::*;
 
-const NO_LENGTH: &str = "HTTP/1.1 200 OK\r\n\r\nhalf";
-const LENGTH: &str = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf";
+const WITHOUT_LENGTH: &str = "HTTP/1.1 200 OK\r\n\r\nhalf";
+const WITH_LENGTH: &str = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf";
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n";
-const HALF_LINE: &str = "HTTP/1.1 20";
+const HALF_STATUS_LINE: &str = "HTTP/1.1 20";
+const HALF_HEADER: &str = "HTTP/1.1 200 OK\r\nContent-Le";
 
-/// A server breaks each answer off, at once or after a moment: the request may have run, so that a keyed one fails, its
-/// retries carry its key, and there are no more than the settings allow. One that is safe ends as a refusal.
-fn breaks_off(text: &'static str, reset: bool) {
-    for moment in [0, 40] {
-        let server = Stub::new(move |_, stream| {
+/// The attempts of the one request with a key: 3 at most, all with its key.
+fn assert_retried_with_key(attempts: &[HttpMessage]) {
+    assert!((1..=3).contains(&attempts.len()), "{} attempts", attempts.len());
+    let has_key = |attempt: &HttpMessage| attempt.header("idempotency-key").as_deref() == Some("k");
+    assert!(attempts.iter().all(has_key));
+}
+
+/// The attempts of the request with the body x.
+fn attempts_of_x(server: &StubServer) -> Vec<HttpMessage> {
+    let mut attempts = server.received();
+    attempts.retain(|request| request.body == "x");
+    attempts
+}
+
+/// The final response's status; the next response on the connection is the next request's, so that there was one
+/// alone.
+fn status_of_only_response(node: &NodeProcess, request: &str) -> u16 {
+    let mut client = node.connect();
+    let status = exchange(&mut client, request).status;
+    let next = exchange(&mut client, &request_with_key("fine", "fine"));
+    assert_eq!((next.status, next.body.as_str()), (200, "fine"));
+    status
+}
+
+/// All but the one that may be kept.
+fn wait_connections_closed(server: &StubServer) {
+    wait_for("the attempts to be closed", || server.num_closed() + 1 >= server.num_connections());
+}
+
+/// How a server ends a connection.
+#[derive(Clone, Copy, PartialEq)]
+enum End {
+    Close,
+    Reset,
+}
+
+/// A server breaks each response off, at once or after a moment: the request may have run, so that one with a key
+/// fails, its retries carry its key, and there are no more than the settings allow. An idempotent one ends in a
+/// rejection.
+fn assert_broken_response_is_not_served(text: &'static str, end: End) {
+    for pause in [0, 40] {
+        let server = StubServer::new(move |_, stream| {
             let _ = stream.write_all(text.as_bytes());
-            // For a verdict it makes no difference: either way the answer has broken off.
-            std::thread::sleep(Duration::from_millis(moment));
-            if reset {
-                end_by_reset(stream);
+            // For the outcome it makes no difference: either way the response has broken off.
+            pause_ms(pause);
+            if end == End::Reset {
+                reset_on_close(stream);
             }
             false
         });
-        let node = Node::start(&[("s-1", &server, "active")]);
-        assert_eq!(ask(&node, &post("book", "k", "", "x")).status, 502, "{text:?}");
-        assert_keyed(&server);
-        assert_eq!(ask(&node, &get("look", "")).status, 429, "{text:?}");
+        let node = NodeProcess::in_front_of(&server);
+        assert_eq!(node.request(&request_with_key("k", "x")).status, 502, "{text:?}");
+        assert_retried_with_key(&attempts_of_x(&server));
+        assert_eq!(node.request(&idempotent_request()).status, 429, "{text:?}");
     }
 }
 
-/// A reset on the way is no end of an answer, least of all of one without length, which the end of its connection ends.
+/// A reset on the way is no end of a response, least of all of one without length, which the end of its connection
+/// ends.
 #[test]
-fn an_answer_that_is_reset_is_not_served() {
-    for text in [NO_LENGTH, LENGTH, CHUNKED] {
-        breaks_off(text, true);
+fn a_response_that_is_reset_is_not_served() {
+    for text in [WITHOUT_LENGTH, WITH_LENGTH, CHUNKED] {
+        assert_broken_response_is_not_served(text, End::Reset);
     }
 }
 
 /// A status line or a head that stops halfway says nothing of what ran, also where it began as a good one.
 #[test]
-fn half_a_head_is_no_answer() {
-    for text in [HALF_LINE, "HTTP/1.1 200 OK\r\nContent-Le"] {
-        breaks_off(text, false);
-        breaks_off(text, true);
+fn half_a_head_is_no_response() {
+    for text in [HALF_STATUS_LINE, HALF_HEADER] {
+        assert_broken_response_is_not_served(text, End::Close);
+        assert_broken_response_is_not_served(text, End::Reset);
     }
 }
 
-/// The other side of it: a clean end is the end of an answer without length, and all of it is served.
+/// Guards against a part of a body passed on as served, and against a broken exchange taken for never run.
 #[test]
-fn an_answer_without_length_that_ends_cleanly_is_served_whole() {
+fn a_response_that_is_cut_or_too_long_is_not_served() {
+    let too_long = format!("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n{}", "x".repeat(70_000));
+    for text in ["", "HTTP/1.1 200", WITH_LENGTH, CHUNKED, &too_long] {
+        let text = text.to_string();
+        let server = StubServer::new(move |_, stream| {
+            let _ = stream.write_all(text.as_bytes());
+            false
+        });
+        let node = NodeProcess::in_front_of(&server);
+        assert_eq!(node.request(&request_with_key("k", "x")).status, 502);
+        assert_retried_with_key(&server.received());
+    }
+}
+
+/// The other side of it: a clean end is the end of a response without length, and all of it is served.
+#[test]
+fn a_response_without_length_that_ends_cleanly_is_served_whole() {
     for length in [0, 4, 50_000] {
         let body = "x".repeat(length);
         let text = format!("HTTP/1.1 200 OK\r\n\r\n{body}");
-        let server = Stub::new(move |_, stream| {
+        let server = StubServer::new(move |_, stream| {
             let (first, second) = text.split_at(text.len() - length / 2);
             let _ = stream.write_all(first.as_bytes());
-            std::thread::sleep(Duration::from_millis(20));
+            pause_ms(20);
             let _ = stream.write_all(second.as_bytes());
             false
         });
-        let node = Node::start(&[("s-1", &server, "active")]);
-        let answer = ask(&node, &post("book", "k", "", "x"));
-        assert_eq!((answer.status, answer.body), (200, body));
-        assert_eq!(server.seen().len(), 1);
+        let node = NodeProcess::in_front_of(&server);
+        let response = node.request(&request_with_key("k", "x"));
+        assert_eq!((response.status, response.body), (200, body));
+        assert_eq!(server.num_received(), 1);
     }
 }
 
-/// An answer that trickles and never ends is given up at the request's aim: one final answer, and the connections to the
-/// server are closed.
+/// A response that trickles and never ends is given up at the request's latency objective: one final response, and
+/// the connections to the server are closed.
 #[test]
-fn an_answer_that_never_ends_is_given_up() {
-    let server = Stub::new(|seen, stream| {
-        if seen.body == "fine" {
+fn a_response_that_never_ends_is_given_up() {
+    let server = StubServer::new(|request, stream| {
+        if request.body == "fine" {
             return write_ok(stream, "fine");
         }
         let _ = stream.write_all(CHUNKED.as_bytes());
         while stream.write_all(b"4\r\nmore\r\n").is_ok() {
-            std::thread::sleep(Duration::from_millis(20));
+            pause_ms(20);
         }
         false
     });
-    let node = Node::start(&[("s-1", &server, "active")]);
-    assert_eq!(one_final_answer(&node, &post("book", "k", "", "x")), 502);
-    assert_eq!(one_final_answer(&node, &get("look", "")), 429);
-    assert_keyed(&server);
-    // All but the one that may be kept.
-    wait_for("the attempts to be closed", || server.closed_by_peer() + 1 >= server.connections());
+    let node = NodeProcess::in_front_of(&server);
+    assert_eq!(status_of_only_response(&node, &request_with_key("k", "x")), 502);
+    assert_eq!(status_of_only_response(&node, &idempotent_request()), 429);
+    assert_retried_with_key(&attempts_of_x(&server));
+    wait_connections_closed(&server);
 }
 
-/// Between two requests a server writes half a status line on a kept connection, which the next answer would be taken
-/// to go on: the next request goes on another connection. One attempt each, as a retry would hide it.
+/// Between two requests a server writes half a status line on a kept connection, which the next response would be
+/// taken to go on: the next request goes on another connection. One attempt each, as a retry would hide it.
 #[test]
-fn half_a_status_line_between_requests_spoils_a_kept_connection() {
-    let spoilt = Arc::new(AtomicUsize::new(0));
-    let count = spoilt.clone();
-    let server = Stub::new(move |seen, stream| {
-        write_ok(stream, &seen.body);
+fn a_kept_connection_with_half_a_status_line_is_not_used() {
+    let num_half_lines = Arc::new(AtomicUsize::new(0));
+    let written = num_half_lines.clone();
+    let server = StubServer::new(move |request, stream| {
+        write_ok(stream, &request.body);
         // Long enough for the connection to have gone back to the pool.
-        std::thread::sleep(Duration::from_millis(100));
-        let fine = stream.write_all(HALF_LINE.as_bytes()).is_ok();
-        count.fetch_add(1, SeqCst);
-        fine
+        pause_ms(100);
+        let is_open = stream.write_all(HALF_STATUS_LINE.as_bytes()).is_ok();
+        written.fetch_add(1, SeqCst);
+        is_open
     });
-    let one = |c: String| c.replace(r#""MostTries":3"#, r#""MostTries":1"#);
-    let node = Node::with(&[("s-1", &server, "active")], one);
+    let node = NodeProcess::with_server(&server, |configuration| configuration.with_max_attempts(1));
     for n in 1..=6 {
-        let text = format!("body {n}");
-        let mut client = TcpStream::connect(node.addr).expect("connect");
-        client.write_all(post("book", &format!("k{n}"), "", &text).as_bytes()).expect("write");
+        let body = format!("body {n}");
+        let mut client = node.send(&request_with_key(&format!("k{n}"), &body));
         if n % 2 == 0 {
             node.signal("CONT");
         }
-        let answer = read_answer(&mut client);
-        assert_eq!((answer.status, answer.body), (200, text));
-        assert_eq!((server.seen().len(), server.connections()), (n, n));
+        let response = read_response(&mut client);
+        assert_eq!((response.status, response.body), (200, body));
+        assert_eq!((server.num_received(), server.num_connections()), (n, n));
         if n % 2 == 1 {
             // It finds the half line and the next request at once.
             node.signal("STOP");
         }
-        wait_for("the half line", || spoilt.load(SeqCst) == n);
+        wait_for("the half line", || num_half_lines.load(SeqCst) == n);
     }
 }
 
 /// Servers that write without end, wherever they can: the connection ends, memory stays within a quarter of what the
 /// configuration allows, and the next request is served.
 #[test]
-fn a_flood_is_cut_and_costs_little_memory() {
+fn an_endless_response_is_cut_and_costs_little_memory() {
+    const MAX_MEMORY_KB: u64 = 48 << 10;
     let (head, many) = ("HTTP/1.1 200 OK\r\n", "x".repeat(1 << 16));
-    for (begin, more) in [
+    for (begin, repeated) in [
         (format!("{head}Content-Length: 3000000000\r\n\r\n"), many.clone()),
         (format!("{head}Transfer-Encoding: chunked\r\n\r\n"), format!("10000\r\n{many}\r\n")),
         (format!("{head}\r\n"), many.clone()),
@@ -145,51 +193,20 @@
         (format!("{head}X-More: "), many),
         (String::new(), "HTTP/1.1 100 Continue\r\n\r\n".repeat(4096)),
     ] {
-        let name = format!("{begin:?}");
-        let server = Stub::new(move |seen, stream| {
-            if seen.body == "fine" {
+        let case = format!("{begin:?}");
+        let server = StubServer::new(move |request, stream| {
+            if request.body == "fine" {
                 return write_ok(stream, "fine");
             }
             let _ = stream.write_all(begin.as_bytes());
-            while stream.write_all(more.as_bytes()).is_ok() {}
+            while stream.write_all(repeated.as_bytes()).is_ok() {}
             false
         });
-        let node = Node::start(&[("s-1", &server, "active")]);
-        assert_eq!(one_final_answer(&node, &post("book", "k", "", "x")), 502, "{name}");
-        assert_keyed(&server);
-        let kb = most_memory(&node);
-        assert!(kb < 48 << 10, "{kb} kB, {name}");
-        // All but the one that may be kept.
-        wait_for("the floods to be cut", || server.closed_by_peer() + 1 >= server.connections());
-    }
-}
-
-/// A client whose request comes byte by byte, in less than the time that it has, is served, and those beside it are.
-#[test]
-fn a_slow_client_is_served_and_holds_up_nobody() {
-    let server = Stub::new(|seen, stream| write_ok(stream, &seen.body));
-    let node = Node::start(&[("s-1", &server, "active")]);
-    let mut neighbour = TcpStream::connect(node.addr).expect("connect");
-    for (request, body) in [(get("look", ""), ""), (post("book", "slow", "", "slow"), "slow")] {
-        // One that a busy machine has made too slow is sent once more.
-        wait_for("a request in time", || {
-            let mut client = TcpStream::connect(node.addr).expect("connect");
-            client.set_nodelay(true).expect("no delay");
-            let (began, mut whole) = (Instant::now(), true);
-            for (n, byte) in request.bytes().enumerate() {
-                whole &= client.write_all(&[byte]).is_ok();
-                std::thread::sleep(Duration::from_millis(2));
-                if n % 40 == 20 {
-                    assert_eq!(
-                        exchange(&mut neighbour, &post("book", "beside", "", "beside")).body,
-                        "beside"
-                    );
-                }
-            }
-            let in_time = whole && began.elapsed() < Duration::from_millis(1700);
-            let answer = in_time.then(|| read_answer(&mut client));
-            assert!(answer.as_ref().is_none_or(|a| (a.status, a.body.as_str()) == (200, body)), "{answer:?}");
-            in_time
-        });
+        let node = NodeProcess::in_front_of(&server);
+        assert_eq!(status_of_only_response(&node, &request_with_key("k", "x")), 502, "{case}");
+        assert_retried_with_key(&attempts_of_x(&server));
+        let memory_kb = node.max_memory_kb();
+        assert!(memory_kb < MAX_MEMORY_KB, "{memory_kb} kB, {case}");
+        wait_connections_closed(&server);
     }
 }
--- /dev/null
+++ b/limiter/tests/shutdown.rs
@@ -0,0 +1,137 @@
+//! The orderly shutdown by SIGTERM: what has been taken is answered, clients go on while there is time, and the
+//! process ends by its last moment, whoever hangs.
+
+mod stubs;
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+use stubs::*;
+
+#[test]
+fn sigterm_finishes_what_was_taken_and_exits_with_0() {
+    let server = StubServer::new(|request, stream| {
+        if request.body == "slow" {
+            pause_ms(600);
+        }
+        write_ok(stream, "done")
+    });
+    let mut node = NodeProcess::in_front_of(&server);
+    let mut idle = node.connect();
+    assert_eq!(exchange(&mut idle, &idempotent_request()).status, 200);
+    let mut slow = node.send(&request_with_key("k1", "slow"));
+    wait_for("the slow request to arrive", || server.num_received() == 2);
+    node.signal("TERM");
+    node.wait_log("shutting down");
+    assert_eq!(node.request(&idempotent_request()).status, 200, "new connections are still served");
+    assert_eq!(exchange(&mut idle, &idempotent_request()).status, 200, "and those that are kept");
+    assert_eq!(idle.read(&mut [0; 16]).expect("a clean end"), 0, "closed between requests");
+    assert_eq!(read_response(&mut slow).body, "done");
+    assert_eq!(node.exit_code(), Some(0));
+}
+
+/// After SIGTERM clients go on using the connections they have. Guards against closing these at once while there is
+/// time: 3 s of deadline and 0.7 s before a SIGKILL, less the longest latency objective (1 s) and a little to spare.
+#[test]
+fn sigterm_leaves_kept_connections_open_while_there_is_time() {
+    let server = StubServer::responding("fine");
+    let mut node = NodeProcess::with_server(&server, |configuration| {
+        configuration.replace(r#""AimMs":2500,"#, r#""AimMs":900,"DeadlineMs":8000,"#)
+    });
+    let mut kept = node.connect();
+    assert_eq!(exchange(&mut kept, &idempotent_request()).status, 200);
+    node.signal("TERM");
+    node.wait_log("shutting down");
+    // Of 2.4 s; the next one comes after half of that.
+    pause_ms(1200);
+    assert_eq!(exchange(&mut kept, &idempotent_request()).status, 200);
+    assert!(!node.is_ready());
+    assert_eq!(kept.read(&mut [0; 16]).expect("a clean end"), 0, "closed between requests");
+    assert_eq!(node.exit_code(), Some(0));
+}
+
+/// Guards against a restart held up by clients that connect and say nothing: what was taken is finished, no more.
+#[test]
+fn sigterm_does_not_wait_for_clients_that_request_nothing() {
+    let server = StubServer::responding_after_ms(900, "done");
+    let mut node = NodeProcess::in_front_of(&server);
+    let addr = node.addr;
+    let crowd = std::thread::spawn(move || {
+        let mut held = Vec::new();
+        // Until connections are refused, or for as long as an end would have to come by.
+        for _ in 0..200 {
+            let Ok(client) = TcpStream::connect(addr) else { return true };
+            held.push(client);
+            pause_ms(50);
+        }
+        false
+    });
+    let mut slow = node.send(&request_with_key("k", "x"));
+    wait_for("the request to arrive", || server.num_received() == 1);
+    node.signal("TERM");
+    assert_eq!(read_response(&mut slow).body, "done");
+    assert_eq!(node.exit_code(), Some(0));
+    assert!(crowd.join().expect("the crowd"), "it ended while they still came");
+}
+
+/// After SIGTERM there is a last moment for responses, whatever time a client has left: what an unresponsive server
+/// has is answered by then, as is what comes later, and only then the process ends.
+#[test]
+fn all_is_answered_before_the_end_though_servers_hang() {
+    let server = StubServer::unresponsive();
+    let mut node = NodeProcess::with_server(&server, |configuration| {
+        configuration
+            .replace(r#""KeyScope":"all","#, r#""KeyScope":"all","LateWorth":0.2,"DeadlineMs":400,"#)
+            .replace(r#""LateWorth":0}"#, r#""LateWorth":0,"DeadlineMs":400}"#)
+    });
+    let request = |n: u32| request_with_key(&format!("k{n}"), "x").replace("Left: 3.0", "Left: 600");
+    let mut clients: Vec<TcpStream> = (0..4).map(|n| node.send(&request(n))).collect();
+    wait_for("the requests to arrive", || server.num_received() >= 4);
+    node.signal("TERM");
+    node.wait_log("shutting down");
+    clients.push(node.send(&request(9)));
+    for client in &mut clients {
+        assert_eq!(read_response(client).status, 502, "it may have run");
+    }
+    assert_eq!(node.exit_code(), Some(0));
+}
+
+/// Waits until the server has received some requests and gets no more.
+fn wait_no_more_received(server: &StubServer) -> usize {
+    let (mut num_before, mut num_same) = (0, 0);
+    wait_for("a response that cannot be written", || {
+        let num_received = server.num_received();
+        num_same = if num_received == num_before && num_received > 0 { num_same + 1 } else { 0 };
+        num_before = num_received;
+        num_same > 30
+    });
+    num_before
+}
+
+/// A response that its client reads slowly is not cut by the end of the process or its sweeps.
+#[test]
+fn a_response_that_is_being_written_is_not_cut() {
+    const NUM_REQUESTS: usize = 300;
+    let body: String = ('a'..='z').cycle().take(60_000).collect();
+    let server = StubServer::responding(&body);
+    let mut node = NodeProcess::in_front_of(&server);
+    let mut client = node.connect();
+    // Pipelined requests, and none of their responses read: sooner or later one cannot be written.
+    let request = |n| request_of_class("look", "X-A: b\r\n").replace("c-1", &format!("c-{n}"));
+    let requests: String = (0..NUM_REQUESTS).map(request).collect();
+    let mut writer = client.try_clone().expect("a clone");
+    let writing = std::thread::spawn(move || drop(writer.write_all(requests.as_bytes())));
+    assert!(wait_no_more_received(&server) < NUM_REQUESTS, "all were answered");
+    node.signal("TERM");
+    wait_for("the end to refuse connections", || TcpStream::connect(node.addr).is_err());
+    // Longer than any sweep of idle connections.
+    pause_ms(1500);
+    client.set_read_timeout(Some(PATIENCE)).expect("time-out");
+    let mut received = Vec::new();
+    let _ = client.read_to_end(&mut received);
+    let received = String::from_utf8_lossy(&received);
+    assert!(received.ends_with(&body), "the last response of {} bytes is cut", received.len());
+    assert_eq!(node.exit_code(), Some(0));
+    drop(client);
+    writing.join().expect("the writer");
+}
--- a/limiter/tests/startup.rs
+++ b/limiter/tests/startup.rs
@@ -1,38 +1,69 @@
-//! How soon a process that has just started is ready, and what it keeps for itself under a crowd.
+//! How a process starts: which configurations it takes, how soon it is ready, which endpoint list counts at first,
+//! and what it keeps for itself under a crowd.
 
 mod stubs;
 
-use std::io::Write;
+use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
-use std::time::Duration;
 
 use stubs::*;
 
-const NONE_KNOWN: &str = r#"{"version":1,"full":true,"servers":[]}"#;
+const DISCOVERY_MODES: [&str; 2] = ["automatic", "subscribe"];
 
-/// Starts with a list of an earlier time, before an agent or a discovery that takes calls and says nothing.
-fn ready_in_time(known: &str, mode: &str) -> Node {
-    let alter = |c: String| c.replace(NONE_KNOWN, known).replace("automatic", mode);
-    let node = Node::before(Discovery::held("\n".to_string()), alter, 1024);
-    wait_for("readiness", || ready(&node) == 200);
-    node
+#[test]
+fn a_bad_configuration_is_reported_in_one_plain_line() {
+    for (from, to) in [
+        (r#""listen":"127.0.0.1:0""#, r#""listen":"nowhere""#),
+        (r#""Balancers":1"#, r#""Balancers":0"#),
+        (r#""Zone":"a""#, r#""Zone":"unheard""#),
+        (r#""sockets":1024"#, r#""sockets":3"#),
+        ("{", ""),
+    ] {
+        let FailedStart { exit_code, stderr } =
+            NodeProcess::fail_to_start(|configuration| configuration.replace_first(from, to));
+        assert_eq!(exit_code, Some(1), "{stderr}");
+        assert_eq!(stderr.trim_end().lines().count(), 1, "{stderr}");
+        assert!(stderr.starts_with("limiter: "), "{stderr}");
+    }
 }
 
-/// Discovery is silent: with an old list, an empty one, one that names nothing that takes work, one that cannot be read
-/// and none at all a new process is ready in time, and answers at once that it cannot serve, if it cannot.
+/// A limiter that was killed starts again under its address at once.
+#[test]
+fn a_killed_limiter_starts_again_under_its_address() {
+    let server = StubServer::responding("fine");
+    let first = NodeProcess::in_front_of(&server);
+    let addr = first.addr;
+    let mut keep_alive = first.connect();
+    assert_eq!(exchange(&mut keep_alive, &idempotent_request()).status, 200);
+    drop(first);
+    let again = NodeProcess::with_server(&server, |configuration| {
+        configuration.replace(r#""listen":"127.0.0.1:0""#, &format!(r#""listen":"{addr}""#))
+    });
+    assert_eq!(again.addr, addr);
+    assert_eq!(again.request(&idempotent_request()).status, 200);
+}
+
+/// Starts with an endpoint list of an earlier time, while discovery takes calls and says nothing.
+fn start_with_silent_discovery(alter: impl Fn(Configuration) -> Configuration) -> NodeProcess {
+    NodeProcess::with_discovery(StubDiscovery::unresponsive(), alter, DEFAULT_DESCRIPTORS)
+}
+
+/// With an old list, an empty one, one that names nothing that takes requests, one that cannot be read and none at
+/// all a new process is ready in time, and answers at once that it cannot serve, if it cannot.
 #[test]
 fn a_new_process_is_ready_though_discovery_is_silent() {
     let gone: SocketAddr = "127.0.0.1:1".parse().expect("an address");
-    let old = line(1, true, &[("s-1", gone, "active")]);
-    let leaving = line(1, true, &[("s-1", gone, "leaving")]);
-    for mode in ["automatic", "subscribe"] {
-        std::thread::scope(|all| {
-            for known in [old.trim_end(), NONE_KNOWN, leaving.trim_end(), "{\"servers\":7}", "null"] {
-                all.spawn(move || {
-                    let node = ready_in_time(known, mode);
-                    assert_eq!(ask(&node, &get("look", "")).status, 429, "{known}");
+    let old = complete_list(1, &[serving_at("s-1", gone)]);
+    let draining = complete_list(1, &[draining_at("s-1", gone)]);
+    for mode in DISCOVERY_MODES {
+        std::thread::scope(|scope| {
+            for known in [old.as_str(), NO_KNOWN_SERVERS, &draining, "{\"servers\":7}", "null"] {
+                scope.spawn(move || {
+                    let node = start_with_silent_discovery(|configuration| {
+                        configuration.with_known_servers(known).with_discovery_mode(mode)
+                    });
+                    node.wait_ready();
+                    assert_eq!(node.request(&idempotent_request()).status, 429, "{known}");
                 });
             }
         });
@@ -42,59 +73,93 @@
 /// Nothing answers where discovery should be.
 #[test]
 fn a_new_process_is_ready_though_discovery_is_down() {
-    for mode in ["automatic", "subscribe"] {
-        let discovery = Discovery::new(String::new());
-        let there = format!("\"discovery\":\"{}\"", discovery.addr);
-        let alter = |c: String| c.replace(&there, r#""discovery":"127.0.0.1:1""#).replace("automatic", mode);
-        let node = Node::before(discovery, alter, 1024);
-        wait_for("readiness", || ready(&node) == 200);
+    for mode in DISCOVERY_MODES {
+        let discovery = StubDiscovery::new(String::new());
+        let address = format!("\"discovery\":\"{}\"", discovery.addr);
+        let alter = |configuration: Configuration| {
+            configuration.replace(&address, r#""discovery":"127.0.0.1:1""#).with_discovery_mode(mode)
+        };
+        let node = NodeProcess::with_discovery(discovery, alter, DEFAULT_DESCRIPTORS);
+        node.wait_ready();
+    }
+}
+
+/// What discovery has counts as announced from a new process's first moment, and the list that it was given at its
+/// start may be old: a request that comes before discovery has answered waits for it.
+#[test]
+fn nothing_is_forwarded_by_an_old_list_before_discovery_has_answered() {
+    let (one, two) = (StubServer::responding("one"), StubServer::responding("two"));
+    let known = complete_list(1, &[serving("s-1", &one)]);
+    // On a machine so slow that discovery has had its chance before it answers, it is done once more.
+    for _ in 0..10 {
+        let node = start_with_silent_discovery(|configuration| {
+            configuration.without_latency_objective().with_known_servers(&known)
+        });
+        let mut client = node.send(&idempotent_request());
+        wait_for("the call", || node.discovery.num_calls() > 0);
+        let change = [draining_at("s-1", one.addr), serving("s-2", &two)];
+        node.discovery.resume_with(&list_change(2, &change));
+        let response = read_response(&mut client);
+        if node.has_logged("using the endpoint list of the configuration") {
+            continue;
+        }
+        assert_eq!((response.status, response.body.as_str()), (200, "two"));
+        assert!(one.received().is_empty(), "{} forwarded by the old list", one.num_received());
+        return;
     }
+    panic!("the list of the start counted before discovery could answer");
 }
 
-/// As many descriptors as the smallest configuration promises. Servers hang with an attempt on every connection that may
-/// be open to them, and idle clients take every place there is, again and again, while discovery is down: its call has a
-/// descriptor of its own, so that what it says at its return is in force, and so have the attempts that follow.
+/// A discovery that says nothing at all costs a start little: then the list that was given counts.
+#[test]
+fn the_list_of_the_configuration_counts_where_discovery_is_silent() {
+    let one = StubServer::responding("one");
+    let known = complete_list(1, &[serving("s-1", &one)]);
+    let node = start_with_silent_discovery(|configuration| configuration.with_known_servers(&known));
+    node.wait_ready();
+    assert_eq!(node.request(&idempotent_request()).body, "one");
+}
+
+/// As many descriptors as the smallest configuration promises. Servers hang with an attempt on every connection that
+/// may be open to them, and idle clients take every place there is, again and again, while discovery is down: its
+/// call has a descriptor of its own, so that what it says at its return is in force, and so have the attempts that
+/// follow.
 #[test]
 fn idle_clients_leave_discovery_and_attempts_their_descriptors() {
-    let hangs = Stub::new(|_, stream| {
-        wait_for("the end", || stream.peek(&mut [0]).is_ok_and(|n| n == 0));
+    const DESCRIPTORS: u32 = 64;
+    let hanging_server = StubServer::new(|_, stream| {
+        wait_for("the end", || stream.peek(&mut [0]).is_ok_and(|length| length == 0));
         false
     });
-    let fine = Stub::new(|_, stream| write_ok(stream, "fine"));
-    let known = line(1, true, &[("s-1", hangs.addr, "active")]);
-    let small = |c: String| {
-        let patient = c.replace(r#""AimMs":1000"#, r#""AimMs":600000"#);
-        patient.replace(r#""sockets":1024"#, r#""sockets":64"#).replace(NONE_KNOWN, known.trim_end())
+    let good_server = StubServer::responding("fine");
+    let known = complete_list(1, &[serving("s-1", &hanging_server)]);
+    let alter = |configuration: Configuration| {
+        let configuration = configuration.without_latency_objective();
+        configuration.with_descriptors(DESCRIPTORS).with_known_servers(&known)
     };
-    let node = Node::before(Discovery::held("\n".to_string()), small, 64);
+    let node = NodeProcess::with_discovery(StubDiscovery::unresponsive(), alter, DESCRIPTORS);
     node.wait_log("using the endpoint list of the configuration");
-    let hang = |n: usize| {
-        let mut client = TcpStream::connect(node.addr).expect("connect");
-        let request = get("look", "").replace("c-1", &format!("c-{n}")).replace("Left: 3.0", "Left: 60");
-        client.write_all(request.as_bytes()).expect("write");
-        client
-    };
-    let hanging: Vec<TcpStream> = (0..30).map(hang).collect();
-    wait_for("attempts on all connections", || hangs.seen().len() >= 16);
-    let (over, addr) = (Arc::new(AtomicBool::new(false)), node.addr);
-    let ended = over.clone();
+    let hanging: Vec<TcpStream> = (0..30).map(|n| node.send(&patient_request(&format!("c-{n}")))).collect();
+    wait_for("attempts on all connections", || hanging_server.num_received() >= 16);
+    let (is_over, addr) = (Gate::default(), node.addr);
+    let crowd_is_over = is_over.clone();
     let crowd = std::thread::spawn(move || {
         // A place that is taken from one is taken by the next, for as long as the test needs.
-        let mut idle = std::collections::VecDeque::new();
-        while !ended.load(Ordering::SeqCst) {
+        let mut idle = VecDeque::new();
+        while !crowd_is_over.is_open() {
             idle.extend(TcpStream::connect(addr));
             idle.drain(..idle.len().saturating_sub(200));
-            std::thread::sleep(Duration::from_millis(1));
+            pause_ms(1);
         }
     });
-    let calls = node.discovery.calls();
-    wait_for("more calls", || node.discovery.calls() > calls + 5);
-    let change = [("s-1", hangs.addr, "leaving"), ("s-2", fine.addr, "active")];
-    node.discovery.release(&line(2, false, &change));
+    let num_calls = node.discovery.num_calls();
+    wait_for("more calls", || node.discovery.num_calls() > num_calls + 5);
+    let change = [draining_at("s-1", hanging_server.addr), serving("s-2", &good_server)];
+    node.discovery.resume_with(&list_change(2, &change));
     node.wait_log("server s-2");
-    assert!(!node.logged("open files"), "no call or attempt wants for a descriptor");
+    assert!(!node.has_logged("open files"), "no call or attempt lacks a descriptor");
     drop(hanging);
-    over.store(true, Ordering::SeqCst);
+    is_over.open();
     crowd.join().expect("the crowd");
-    wait_for("service", || ask(&node, &get("look", "").replace("c-1", "c-fine")).body == "fine");
+    wait_for("service", || node.request(&idempotent_request_with_id("c-fine")).body == "fine");
 }
--- a/limiter/tests/stubs/disconnecting_client.rs
+++ b/limiter/tests/stubs/disconnecting_client.rs
@@ -1,105 +1,96 @@
-//! Clients that leave: what they ask, when they go, and what came to the servers.
+//! Clients that leave: what they request, when they go, and what came to the servers.
 
 use std::io::Write;
 use std::net::TcpStream;
-use std::sync::Arc;
-use std::time::Duration;
 
-use crate::stubs::*;
+use super::{
+    patient_request, pause_ms, read_response, serving, wait_for, Configuration, HttpMessage, NodeProcess,
+    StubServer,
+};
 
-/// What the client does before the moment that would send its request on.
+/// What the client does before the event that would have its request forwarded.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Client {
-    /// Stays: shows that the request is sent on then.
+pub enum ClientBehaviour {
+    /// Stays: shows that the request is forwarded then.
     Stays,
     /// Leaves, and the limiter has noticed.
-    Noticed,
+    LeavesNoticed,
     /// Leaves while the limiter is stopped: it finds that and what follows at once, but more than 0.1 s later.
-    Unseen,
+    LeavesUnnoticed,
 }
-pub use Client::*;
+pub use ClientBehaviour::*;
 
-/// A class that is held for as long as it takes, and a plan whose requests are refused before they are sent on.
-pub fn patient(config: String) -> String {
-    let refused = r#""TiersOfService":[{"Name":"refused","Rate":0.001,"StoreSize":0.001},"#;
-    config.replace(r#""AimMs":1000"#, r#""AimMs":600000"#).replace(r#""TiersOfService":["#, refused)
+/// Requests are held for as long as it takes, and there is a plan for [`has_open_request`].
+pub fn holding_requests(configuration: Configuration) -> Configuration {
+    configuration.without_latency_objective().with_rejecting_plan()
 }
 
-pub fn request(id: &str) -> String {
-    get("look", "").replace("Left: 3.0", "Left: 60").replace("c-1", id)
+/// Whether the request c-1 is open: only then is another one with its id rejected for it. This one is rejected in any
+/// case, before it is forwarded.
+pub fn has_open_request(node: &NodeProcess) -> bool {
+    node.request(&patient_request("c-1").replace("basic", "refused")).status == 409
 }
 
-pub fn send(node: &Node, text: &str) -> TcpStream {
-    let mut client = TcpStream::connect(node.addr).expect("connect");
-    client.write_all(text.as_bytes()).expect("write");
+/// The program without servers, and the request c-1, which therefore waits, with its client.
+pub fn start_with_waiting_request() -> (NodeProcess, TcpStream) {
+    let node = NodeProcess::with_endpoints(&[], holding_requests);
+    let client = send_open_request(&node);
+    (node, client)
+}
+
+/// Sends the request c-1 and waits until the program has taken it.
+pub fn send_open_request(node: &NodeProcess) -> TcpStream {
+    let client = node.send(&patient_request("c-1"));
+    wait_for("the request to be taken", || has_open_request(node));
     client
 }
 
-/// Whether the first request is open: only then is another one of its id turned away for it.
-pub fn is_open(node: &Node) -> bool {
-    ask(node, &request("c-1").replace("basic", "refused")).status == 409
+pub fn wait_disconnect_noticed(node: &NodeProcess) {
+    wait_for("the disconnect to be noticed", || !has_open_request(node));
 }
 
-/// Has the client leave before something else happens, or stay; then this is its answer's status.
-pub fn cross(node: &Node, mut client: TcpStream, how: Client, then: impl FnOnce()) -> Option<u16> {
-    if how == Stays {
-        then();
-        return Some(read_answer(&mut client).status);
+/// Has the client leave before an event, or stay; then this is its response's status.
+pub fn race(
+    node: &NodeProcess,
+    mut client: TcpStream,
+    behaviour: ClientBehaviour,
+    event: impl FnOnce(),
+) -> Option<u16> {
+    if behaviour == Stays {
+        event();
+        return Some(read_response(&mut client).status);
     }
-    if how == Unseen {
+    if behaviour == LeavesUnnoticed {
         node.signal("STOP");
     }
     drop(client);
-    if how == Noticed {
-        wait_for("the end to be noticed", || !is_open(node));
+    if behaviour == LeavesNoticed {
+        wait_disconnect_noticed(node);
     }
-    then();
-    if how == Unseen {
+    event();
+    if behaviour == LeavesUnnoticed {
         // No wait for anything: from here on nothing may begin.
-        std::thread::sleep(Duration::from_millis(200));
+        pause_ms(200);
         node.signal("CONT");
     }
     None
 }
 
-/// Servers that answer alike, the program before them, and a client whose request one of them has.
-pub fn with_an_attempt(
-    servers: usize,
-    answer: impl Fn(&Message, &mut TcpStream) -> bool + Send + Sync + 'static,
-    text: &str,
-    alter: impl Fn(String) -> String,
-) -> (Vec<Stub>, Node, TcpStream) {
-    let answer = Arc::new(answer);
-    let alike = |_| {
-        let answer = answer.clone();
-        Stub::new(move |seen, stream| answer(seen, stream))
-    };
-    let stubs: Vec<Stub> = (0..servers).map(alike).collect();
-    let named: Vec<_> = stubs.iter().zip(["s-1", "s-2"]).map(|(s, id)| (id, s, "active")).collect();
-    let node = Node::with(&named, alter);
-    let client = send(&node, text);
-    wait_for("the attempt", || stubs.iter().map(|s| s.seen().len()).sum::<usize>() == 1);
-    (stubs, node, client)
-}
-
-/// Ends the program and tells the ids of all requests that came to the servers until then.
-pub fn all_sent(mut node: Node, servers: &[Stub]) -> String {
+/// Ends the program and returns the ids of all requests that came to the servers until then, sorted.
+pub fn shut_down_and_collect_ids(mut node: NodeProcess, servers: &[StubServer]) -> Vec<String> {
+    const LAST_ID: &str = "c-last";
     node.signal("TERM");
     assert_eq!(node.exit_code(), Some(0));
-    let mut sent = Vec::new();
+    let mut ids = Vec::new();
     for server in servers {
         // Connections are accepted in their order: with this one all of them have been read.
         let mut last = TcpStream::connect(server.addr).expect("connect");
-        last.write_all(request("c-last").as_bytes()).expect("write");
-        wait_for("the last one", || server.seen().iter().any(|s| id_of(s) == "c-last"));
+        last.write_all(patient_request(LAST_ID).as_bytes()).expect("write");
+        wait_for("the last one", || server.num_received_with_id(LAST_ID) > 0);
         drop(last);
-        wait_for("all to be read", || server.closed_by_peer() == server.connections());
-        sent.extend(server.seen().iter().map(id_of).filter(|id| id != "c-last"));
+        wait_for("all to be read", || server.num_closed() == server.num_connections());
+        ids.extend(server.received().iter().map(HttpMessage::correlation_id).filter(|id| id != LAST_ID));
     }
-    sent.sort();
-    sent.join(" ")
-}
-
-pub fn id_of(message: &Message) -> String {
-    message.header("x-correlation-id").unwrap_or_default()
+    ids.sort();
+    ids
 }
--- a/limiter/tests/stubs/quota_owner.rs
+++ b/limiter/tests/stubs/quota_owner.rs
@@ -1,49 +1,99 @@
-//! A quota owner: a peer that the program asks for a customer's units.
+//! A stub of a quota owner: a peer that the program asks for the units of a customer.
 
 use std::net::{SocketAddr, UdpSocket};
 use std::time::Duration;
 
-use crate::leave::{patient, request};
-use crate::stubs::*;
+use super::{patient_request, NodeProcess, StubServer, DEFAULT_CUSTOMER};
 
-/// A member of a fleet of four, where peers reach it, and the socket of the one that it asks first.
-pub fn member(server: &Stub, plan: &str) -> (Node, SocketAddr, UdpSocket) {
+/// A customer whose quota owners are the limiters 1, 2 and 3 of a fleet of four, asked in this order.
+pub const CUSTOMER_OF_OWNER: &str = "00000000b4d65522";
+
+/// Layout of a gossip message, as the core's module of messages says: a header, then lines, each begun by its kind.
+const HEADER_BYTES: usize = 8;
+const MAX_MESSAGE_BYTES: usize = 256;
+const KIND_QUOTA_REQUEST: u8 = 1;
+const KIND_GRANTED: u8 = 2;
+const KIND_NOT_GRANTED: u8 = 3;
+
+/// A gossip message with a line at least.
+pub struct GossipMessage(Vec<u8>);
+
+impl GossipMessage {
+    fn first_kind(&self) -> u8 {
+        self.0[HEADER_BYTES]
+    }
+
+    pub fn is_grant_reply(&self) -> bool {
+        [KIND_GRANTED, KIND_NOT_GRANTED].contains(&self.first_kind())
+    }
+}
+
+/// The limiter that the program asks first.
+pub struct StubQuotaOwner {
+    socket: UdpSocket,
+    member: SocketAddr,
+}
+
+/// Starts the program as a member of a fleet of four where only the quota owner that it asks first is there; the
+/// others are silent. `quota` is that of the plan of all requests.
+pub fn start_member(server: &StubServer, quota: &str) -> (NodeProcess, StubQuotaOwner) {
     let sockets: Vec<UdpSocket> = (0..4).map(|_| UdpSocket::bind("127.0.0.1:0").expect("bind")).collect();
-    let at: Vec<SocketAddr> = sockets.iter().map(|s| s.local_addr().expect("address")).collect();
-    let all: Vec<String> = at.iter().map(|a| format!("\"{a}\"")).collect();
-    let (own, all) = (&all[0], all.join(","));
-    let peers = format!(r#""sockets":1024}},"peer_listen":{own},"peers":[{all}],"unread":{{"x":1"#);
+    let addresses: Vec<SocketAddr> =
+        sockets.iter().map(|socket| socket.local_addr().expect("address")).collect();
     // The others are closed: they are silent, and the first address is free for the member.
-    let owner = sockets.into_iter().nth(1).expect("four");
-    let node = Node::with(&[("s-1", server, "active")], |c| {
-        let c = c.replace(r#""sockets":1024"#, &peers).replace(r#""Balancers":1"#, r#""Balancers":4"#);
-        patient(c).replace(r#""Rate":0,"StoreSize":0"#, plan)
+    let socket = sockets.into_iter().nth(1).expect("four");
+    socket.set_read_timeout(Some(Duration::from_millis(500))).expect("time-out");
+    let node = NodeProcess::with_server(server, |configuration| {
+        let configuration = configuration.with_peers(&addresses).with_quota(quota);
+        configuration.without_latency_objective().with_rejecting_plan()
     });
-    (node, at[0], owner)
+    (node, StubQuotaOwner { socket, member: addresses[0] })
 }
 
-/// A request of a customer whose quota owners are the limiters 1, 2 and 3, asked in this order.
-pub fn foreign(id: &str, customer: &str) -> String {
-    request(id).replace("spread=1", "spread=4").replace("00000000b4d65521", customer)
+/// A request of a customer that all four limiters serve.
+pub fn request_of_fleet_customer(id: &str, customer: &str) -> String {
+    patient_request(id).replace("spread=1", "spread=4").replace(DEFAULT_CUSTOMER, customer)
 }
 
-/// The next message's first line: its kind is the first byte.
-pub fn receive(owner: &UdpSocket) -> Option<Vec<u8>> {
-    let mut buffer = [0; 256];
-    owner.set_read_timeout(Some(Duration::from_millis(500))).expect("time-out");
-    owner.recv(&mut buffer).ok().filter(|length| *length > 8).map(|length| buffer[..length].to_vec())
+impl StubQuotaOwner {
+    /// The next message, if one comes soon.
+    pub fn receive(&self) -> Option<GossipMessage> {
+        let mut buffer = [0; MAX_MESSAGE_BYTES];
+        let length = self.socket.recv(&mut buffer).ok()?;
+        (length > HEADER_BYTES).then(|| GossipMessage(buffer[..length].to_vec()))
+    }
+
+    /// The next message, which must be a quota request.
+    pub fn receive_quota_request(&self) -> GossipMessage {
+        let is_quota_request = |message: &GossipMessage| message.first_kind() == KIND_QUOTA_REQUEST;
+        self.receive().filter(is_quota_request).expect("a quota request")
+    }
+
+    /// Sends the grant for a quota request, and behind it a quota request to the member, whose reply shows that the
+    /// grant has been read.
+    pub fn send_grant(&self, quota_request: &GossipMessage) {
+        assert!(self.socket.send_to(&grant(&quota_request.0), self.member).is_ok());
+    }
 }
 
-/// The grant for the request that `asked` asks for, and behind it a question to this limiter, whose answer shows that
-/// the grant has been read. Laid out as `src/message.rs` says.
-pub fn grant(asked: &[u8]) -> Vec<u8> {
-    let (born, id, customer_and_plan) = (&asked[3..7], &asked[9..13], &asked[13..22]);
-    let [none, one] = [0f32.to_be_bytes(), 1f32.to_be_bytes()];
-    let word = [&[2][..], id, customer_and_plan, born, &none, &one].concat();
-    let question = [&[1, 0, 0, 0, 9][..], &[0; 8], &[1], &[0, 0], &[0, 1], &one, &none].concat();
-    let mut body = [&[0xfd, 0, 0][..], &[0; 4], &[255], &word, &question].concat();
-    let counted = (1u32..).zip(&body).filter(|(i, _)| *i != 2 && *i != 3);
-    let sum = counted.map(|(i, b)| u32::from(*b) * (2 * i + 1)).sum::<u32>() % 65_521;
-    body[1..3].copy_from_slice(&(sum as u16).to_be_bytes());
+fn grant(quota_request: &[u8]) -> Vec<u8> {
+    let (member_start, id) = (&quota_request[3..7], &quota_request[9..13]);
+    let customer_and_plan = &quota_request[13..22];
+    let [no_units, one_unit] = [0f32.to_be_bytes(), 1f32.to_be_bytes()];
+    let grant = [&[KIND_GRANTED][..], id, customer_and_plan, member_start, &no_units, &one_unit].concat();
+    let (own_id, customer, plan, members) = ([0, 0, 0, 9], [0; 8], [1], [0, 0, 0, 1]);
+    let own_request =
+        [&[KIND_QUOTA_REQUEST][..], &own_id, &customer, &plan, &members, &one_unit, &no_units].concat();
+    let (mark_and_checksum, own_start, no_latency_share) = ([0xfd, 0, 0], [0; 4], [255]);
+    let mut body = [&mark_and_checksum[..], &own_start, &no_latency_share, &grant, &own_request].concat();
+    let checksum = checksum(&body).to_be_bytes();
+    body[1..3].copy_from_slice(&checksum);
     body
 }
+
+/// Sum over all bytes but the checksum's own, each times its place.
+fn checksum(body: &[u8]) -> u16 {
+    let counted = (1u32..).zip(body).filter(|(place, _)| ![2, 3].contains(place));
+    let sum: u32 = counted.map(|(place, byte)| u32::from(*byte) * (2 * place + 1)).sum();
+    (sum % 65_521) as u16
+}
