Part the engine's boundary: traits for its neighbours and the pending response

Test code of the core kept a method that used nothing of its value. Change: engine/ports.rs and engine/pending_response.rs; a free function in the tests.

--- a/limiter-core/tests/common/test_limiter.rs
+++ b/limiter-core/tests/common/test_limiter.rs
@@ -44,22 +44,12 @@
             }
         }
         actions.retain(|action| !matches!(action, Action::SetTimer { .. } | Action::LogEjection(_)));
-        for event in self.ends_of_cancelled(&actions) {
+        for event in ends_of_cancelled(&actions) {
             actions.extend(self.handle(event));
         }
         actions
     }
 
-    fn ends_of_cancelled(&self, actions: &[Action]) -> Vec<Event> {
-        let end = |action: &Action| match action {
-            Action::CancelAttempt { id, attempt } => {
-                Some(attempt_ended(*id, *attempt, Outcome::Cancelled, CANCELLED_ATTEMPT_MS))
-            }
-            _ => None,
-        };
-        actions.iter().filter_map(end).collect()
-    }
-
     /// Timers that have been started and whose firing would still matter.
     pub fn num_live_timers(&self) -> usize {
         self.timers.iter().filter(|timer| self.limiter.is_live(timer.token)).count()
@@ -118,3 +108,14 @@
         self.end_attempt(id, 0, Outcome::Ok, elapsed_ms)
     }
 }
+
+/// The ends of the attempts that were cancelled, as the program reports them.
+fn ends_of_cancelled(actions: &[Action]) -> Vec<Event> {
+    let end = |action: &Action| match action {
+        Action::CancelAttempt { id, attempt } => {
+            Some(attempt_ended(*id, *attempt, Outcome::Cancelled, CANCELLED_ATTEMPT_MS))
+        }
+        _ => None,
+    };
+    actions.iter().filter_map(end).collect()
+}
--- a/limiter/src/engine/mod.rs
+++ b/limiter/src/engine/mod.rs
@@ -6,6 +6,8 @@
 mod clock;
 mod endpoint_table;
 mod pending;
+mod pending_response;
+mod ports;
 mod timer_queue;
 
 use std::cell::{Cell, RefCell};
@@ -15,7 +17,7 @@
 use std::time::Duration;
 
 use limiter_core::{Action, Event, Limiter, Millis, Outcome, Request, RequestId, ServerId, SettingsError};
-use tokio::sync::{oneshot, Notify};
+use tokio::sync::Notify;
 
 use crate::attempt::{AttemptId, AttemptJob, AttemptResult};
 use crate::config::Config;
@@ -25,24 +27,10 @@
 use clock::Clock;
 use endpoint_table::EndpointTable;
 use pending::PendingRequests;
+pub use pending_response::{DuplicateRequest, PendingResponse};
+pub use ports::{GossipTransport, Upstream};
 use timer_queue::{NextTimer, TimerKind, TimerQueue};
 
-/// Makes attempts at servers.
-pub trait Upstream {
-    /// Starts an attempt without waiting for it; its end is reported by [`Engine::attempt_ended`]. When `cancelled`
-    /// yields an outcome, the connection is closed first and the attempt then ends with that.
-    fn start_attempt(&self, engine: &Rc<Engine>, job: AttemptJob, cancelled: oneshot::Receiver<Outcome>);
-
-    /// Closes the idle connections to a server.
-    fn close_idle(&self, server: &ServerId);
-}
-
-/// Carries gossip to other limiters.
-pub trait GossipTransport {
-    /// Sends a message to the limiter of a position; it may be lost.
-    fn send(&self, to: u32, body: &[u8]);
-}
-
 /// The endpoint list of the configuration counts as current after this long without word from discovery.
 const DISCOVERY_PATIENCE_MS: Millis = 2000.0;
 /// The same where lists are pushed: an agent on this machine answers at once, unless it knows nothing.
@@ -77,30 +65,6 @@
     endpoints: EndpointTable,
 }
 
-/// A request with the same correlation id is pending: two at the servers could not be told apart.
-#[derive(Debug)]
-pub struct DuplicateRequest;
-
-/// A submitted request. Dropping it before its response tells the decisions that the client has disconnected.
-pub struct PendingResponse {
-    engine: Rc<Engine>,
-    id: RequestId,
-    response: oneshot::Receiver<FinalResponse>,
-}
-
-impl PendingResponse {
-    /// Waits for the final response.
-    pub async fn wait(mut self) -> FinalResponse {
-        (&mut self.response).await.unwrap_or(FinalResponse::Failed)
-    }
-}
-
-impl Drop for PendingResponse {
-    fn drop(&mut self) {
-        self.engine.client_disconnected(self.id);
-    }
-}
-
 impl Engine {
     /// An engine that knows the endpoint list of its configuration.
     ///
@@ -243,9 +207,10 @@
         let (id, response) = state.pending.insert(content, deadline).ok_or(DuplicateRequest)?;
         self.set_timer(&mut state, deadline, TimerKind::Deadline(id));
         self.dispatch_event(&mut state, Event::RequestArrived(Request { id, ..request }));
-        Ok(PendingResponse { engine: self.clone(), id, response })
+        Ok(PendingResponse::new(self.clone(), id, response))
     }
 
+    /// The client of a request has disconnected; no effect once the request has its final response.
     fn client_disconnected(self: &Rc<Self>, id: RequestId) {
         let mut state = self.state.borrow_mut();
         if state.pending.remove(id) {
