Speak of the core, of records and of reports in comments, in place of house words

Cause: comments still said that something was told or booked, and called the core the decisions. Change: comments alone.

--- a/limiter-core/src/admission/state.rs
+++ b/limiter-core/src/admission/state.rs
@@ -120,7 +120,7 @@
         self.signals.latency.add(now, latency);
     }
 
-    /// Books the end of an attempt that occupied `slots`, of a request with this latency objective.
+    /// Records the end of an attempt that occupied `slots`, of a request with this latency objective.
     pub fn attempt_ended(
         &mut self,
         now: Millis,
--- a/limiter-core/src/endpoints/departures.rs
+++ b/limiter-core/src/endpoints/departures.rs
@@ -51,7 +51,7 @@
         }
     }
 
-    /// Nothing new is sent to a server that has departed by a peer's word, until discovery announces it
+    /// Nothing new is sent to a server that has departed by a peer's report, until discovery announces it
     /// again. That a server has come is not taken from a peer.
     pub(crate) fn on_departure(&mut self, fingerprint: u32) {
         if self.endpoints.drain_by_fingerprint(fingerprint) {
--- a/limiter-core/src/endpoints/outlier.rs
+++ b/limiter-core/src/endpoints/outlier.rs
@@ -42,7 +42,7 @@
         now < self.full_until || hangs
     }
 
-    /// Books how an attempt ended; `timed_out` if it was cancelled for want of a response.
+    /// Records how an attempt ended; `timed_out` if it was cancelled for want of a response.
     pub(super) fn record(&mut self, now: Millis, outcome: Outcome, elapsed_ms: Millis, timed_out: bool) {
         match outcome {
             Outcome::Ok => {
--- a/limiter-core/src/endpoints/table.rs
+++ b/limiter-core/src/endpoints/table.rs
@@ -167,7 +167,7 @@
         departed
     }
 
-    /// Books an attempt that is being sent.
+    /// Records an attempt that is being sent.
     pub(crate) fn attempt_started(&mut self, server: &ServerId) {
         if let Some(record) = self.by_id.get_mut(server) {
             record.in_flight += 1;
@@ -175,7 +175,7 @@
         }
     }
 
-    /// Books the end of an attempt; zone and cell of its server.
+    /// Records the end of an attempt; zone and cell of its server.
     pub(crate) fn attempt_ended(
         &mut self,
         now: Millis,
--- a/limiter-core/src/quota/member_state.rs
+++ b/limiter-core/src/quota/member_state.rs
@@ -22,7 +22,7 @@
     /// Units in the owner's bucket by its last reply, less what was spent here since; full until a reply
     /// comes.
     pub owner_tokens: f64,
-    /// Units shed since the last reply, which the owner has not been told of.
+    /// Units shed since the last reply, which the owner does not know of.
     pub unreported_units: f64,
     /// When the customer was last seen.
     pub last_used_at: Millis,
--- a/limiter-core/src/request/mod.rs
+++ b/limiter-core/src/request/mod.rs
@@ -160,7 +160,7 @@
         self.drain_queue(out);
     }
 
-    /// Books the end of an attempt: slots, latency, server health, and whether it may have been executed.
+    /// Records the end of an attempt: slots, latency, server health, and whether it may have been executed.
     fn record_attempt_end(&mut self, end: &AttemptEnd) {
         let Some(attempt) = self.requests.attempts.remove(&end.key) else { return };
         let (now, outcome) = (self.context.now, end.outcome);
@@ -214,7 +214,7 @@
         Action::Reject { id: request.id, retry_after_ms }
     }
 
-    /// Forgets a request and tells the owner of its quota what it really cost.
+    /// Forgets a request and reports to the owner of its quota what it really cost.
     fn release(&mut self, id: RequestId, out: &mut Vec<Action>) -> Option<PendingRequest> {
         let request = self.requests.pending.remove(&id)?;
         let Some(owner) = request.granting_owner else { return Some(request) };
--- a/limiter-core/src/request/records.rs
+++ b/limiter-core/src/request/records.rs
@@ -40,11 +40,11 @@
     pub quota_requests: u32,
     /// The reply that it waits for.
     pub awaited_reply: Option<AwaitedReply>,
-    /// The owner that granted the units, or that was told that they were spent.
+    /// The owner that granted the units, or that was notified that they were spent.
     pub granting_owner: Option<u32>,
     /// When the quota admitted it.
     pub admitted_at: Millis,
-    /// What it really cost, once a response has told.
+    /// What it really cost, once a response has reported it.
     pub actual_units: Option<f64>,
     /// When its final response has to be given.
     pub deadline: Millis,
@@ -135,7 +135,7 @@
     pub elapsed_ms: Millis,
     /// The request has its final response, or needs none any more.
     pub finished: bool,
-    /// What the request really cost, once a response has told.
+    /// What the request really cost, once a response has reported it.
     pub actual_units: Option<f64>,
 }
 
--- a/limiter-core/src/settings.rs
+++ b/limiter-core/src/settings.rs
@@ -103,7 +103,7 @@
     pub can_gossip: bool,
     /// Attempts may be cancelled.
     pub can_cancel: bool,
-    /// Rejected clients may be told when to retry.
+    /// Rejected clients may be sent a time to retry after.
     pub can_send_retry_after: bool,
     /// Gossip messages a second that one limiter accepts.
     pub gossip_messages_per_s: f64,
--- a/limiter/src/attempt.rs
+++ b/limiter/src/attempt.rs
@@ -32,7 +32,7 @@
 
 /// How an attempt ended.
 pub struct AttemptResult {
-    /// For the decisions.
+    /// For the core.
     pub outcome: Outcome,
     /// The body of a good response.
     pub body: Option<Bytes>,
--- a/limiter/src/config/mod.rs
+++ b/limiter/src/config/mod.rs
@@ -60,7 +60,7 @@
     pub shutdown_response_ms: Millis,
     /// Most units that one request may ask for.
     pub max_request_units: f64,
-    /// The settings of the decisions.
+    /// The settings of the core.
     pub settings: Settings,
     /// Names of classes, plans and zones.
     pub names: NameIndex,
--- a/limiter/src/config/shutdown.rs
+++ b/limiter/src/config/shutdown.rs
@@ -31,7 +31,7 @@
     }
 }
 
-/// The longest that a request of a class may take: the decisions end one at its latency objective where a later
+/// The longest that a request of a class may take: the core ends one at its latency objective where a later
 /// response is worth nothing.
 fn longest_request_ms(class: &RequestClass) -> Millis {
     if class.late_value > 0.0 {
--- a/limiter/src/config/site.rs
+++ b/limiter/src/config/site.rs
@@ -1,4 +1,4 @@
-//! What the platform's settings tell the program beyond those of the decisions.
+//! What the platform's settings tell the program beyond those of the core.
 
 use limiter_core::Millis;
 use simulator_adapter::InstanceSettings;
--- a/limiter/src/discovery/watch.rs
+++ b/limiter/src/discovery/watch.rs
@@ -185,7 +185,7 @@
         self.engine.update_endpoints(list.resolve(&self.engine.config().names));
     }
 
-    /// Tells the decisions, once a watch, that discovery is in touch: that nothing has changed is news, too.
+    /// Tells the core, once a watch, that discovery is in touch: that nothing has changed is news, too.
     fn report_first_contact(&self, reader: &mut WatchReader) {
         if !std::mem::replace(&mut reader.in_touch, true) {
             self.engine.handle_event(Event::EndpointsChanged { complete: false, endpoints: [].into() });
@@ -198,7 +198,7 @@
     framer: ObjectFramer,
     /// When the watch counts as silent.
     deadline: Instant,
-    /// The decisions know that discovery is in touch.
+    /// The core knows that discovery is in touch.
     in_touch: bool,
 }
 
--- a/limiter/src/engine/clock.rs
+++ b/limiter/src/engine/clock.rs
@@ -1,4 +1,4 @@
-//! The clock of the decisions.
+//! The clock of the core.
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
--- a/limiter/src/engine/mod.rs
+++ b/limiter/src/engine/mod.rs
@@ -31,7 +31,7 @@
 pub use ports::{GossipTransport, Upstream};
 use timer_queue::{NextTimer, TimerKind, TimerQueue};
 
-/// The endpoint list of the configuration counts as current after this long without word from discovery.
+/// The endpoint list of the configuration counts as current after this long without an announcement of discovery.
 const DISCOVERY_PATIENCE_MS: Millis = 2000.0;
 /// The same where lists are pushed: an agent on this machine answers at once, unless it knows nothing.
 const PUSHED_DISCOVERY_PATIENCE_MS: Millis = 500.0;
@@ -141,13 +141,13 @@
         self.log.line(line);
     }
 
-    /// The present moment of the decisions' clock.
+    /// The present moment of the core's clock.
     pub fn now(&self) -> Millis {
         self.clock.now()
     }
 
     /// Whether a request could be served: a server takes requests, discovery has been heard or has had its chance, and
-    /// the decisions are ready to admit. Without any server the limiter is ready after a while all the same.
+    /// the core is ready to admit. Without any server the limiter is ready after a while all the same.
     pub fn is_ready(&self) -> bool {
         let age_ms = self.clock.age_ms();
         let heard = self.discovery_heard.get() || age_ms > self.discovery_patience_ms();
@@ -167,7 +167,7 @@
         self.state.borrow().pending.contains(id)
     }
 
-    /// Takes one event in and does what the decisions answer.
+    /// Takes one event in and does what the core answers.
     pub fn handle_event(self: &Rc<Self>, event: Event) {
         let mut state = self.state.borrow_mut();
         self.dispatch_event(&mut state, event);
@@ -226,7 +226,7 @@
     }
 
     /// An attempt has ended; its connection is closed or back in the pool by now. A response in time goes to the
-    /// client; one for a request that has finished is dropped, yet the decisions take its outcome in.
+    /// client; one for a request that has finished is dropped, yet the core takes its outcome in.
     pub fn attempt_ended(self: &Rc<Self>, id: AttemptId, result: AttemptResult) {
         let mut state = self.state.borrow_mut();
         let Some(started_at) = state.pending.attempt_ended(id) else { return };
@@ -364,7 +364,7 @@
         match kind {
             TimerKind::Decision(token) => self.dispatch_event(state, Event::TimerFired { token }),
             TimerKind::AttemptTimeout(id) => state.pending.cancel_attempt(id, Outcome::TimedOut),
-            // A backstop: the decisions end their requests before this. Nothing is sent after it.
+            // A backstop: the core ends their requests before this. Nothing is sent after it.
             TimerKind::Deadline(id) => {
                 if state.pending.respond(id, FinalResponse::Failed) {
                     self.log(&format!("request {id}: failed at its deadline"));
--- a/limiter/src/engine/pending_response.rs
+++ b/limiter/src/engine/pending_response.rs
@@ -12,7 +12,7 @@
 #[derive(Debug)]
 pub struct DuplicateRequest;
 
-/// A submitted request. Dropping it before its response tells the decisions that the client has disconnected.
+/// A submitted request. Dropping it before its response tells the core that the client has disconnected.
 pub struct PendingResponse {
     engine: Rc<Engine>,
     id: RequestId,
--- a/limiter/src/engine/timer_queue.rs
+++ b/limiter/src/engine/timer_queue.rs
@@ -10,7 +10,7 @@
 /// What a timer is for. Timers of one moment fire in the order of these variants.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum TimerKind {
-    /// Asked for by the decisions.
+    /// Asked for by the core.
     Decision(TimerToken),
     /// An attempt has run out of time.
     AttemptTimeout(AttemptId),
--- a/limiter/src/frontend/request_handler.rs
+++ b/limiter/src/frontend/request_handler.rs
@@ -17,7 +17,7 @@
 /// Tells with its status whether the limiter is ready.
 const READINESS_PATH: &str = "/-/ready";
 
-/// Why a request was rejected before it reached the decisions. The message is the body of the response.
+/// Why a request was rejected before it reached the core. The message is the body of the response.
 #[derive(Debug, thiserror::Error)]
 enum RequestError {
     #[error(transparent)]
--- a/limiter/src/frontend/request_head.rs
+++ b/limiter/src/frontend/request_head.rs
@@ -87,7 +87,7 @@
 
 /// What a valid head says.
 pub(super) struct RequestHead {
-    /// What the decisions need to know; its id is assigned on submission.
+    /// What the core needs to know; its id is assigned on submission.
     pub(super) request: Request,
     /// Path and query.
     pub(super) target: Uri,
@@ -98,7 +98,7 @@
 }
 
 impl RequestHead {
-    /// Parses a complete head. A request with anything malformed or unknown reaches neither the decisions nor a server.
+    /// Parses a complete head. A request with anything malformed or unknown reaches neither the core nor a server.
     ///
     /// # Errors
     /// The first fault, in the order of the checks below.
--- a/limiter/src/gossip.rs
+++ b/limiter/src/gossip.rs
@@ -38,7 +38,7 @@
     }
 }
 
-/// Hands the datagrams of peers to the decisions, for ever. Datagrams of strangers and oversized ones are ignored.
+/// Hands the datagrams of peers to the core, for ever. Datagrams of strangers and oversized ones are ignored.
 pub async fn receive(engine: Rc<Engine>, socket: Rc<UdpSocket>) {
     let mut buffer = [0u8; MAX_DATAGRAM_BYTES + 1];
     loop {
--- a/limiter/src/upstream/attempt.rs
+++ b/limiter/src/upstream/attempt.rs
@@ -51,7 +51,7 @@
 }
 
 impl AttemptError {
-    /// The outcome that is reported to the decisions.
+    /// The outcome that is reported to the core.
     pub fn outcome(&self) -> Outcome {
         match self {
             AttemptError::NotServing | AttemptError::TooLate | AttemptError::InvalidRequest(_) => {
@@ -166,7 +166,7 @@
     Ok(received.freeze())
 }
 
-/// What a response means for the decisions.
+/// What a response means for the core.
 fn judge(response: ServerResponse, max_request_units: f64) -> AttemptResult {
     let unprocessed = response.headers.get(UNPROCESSED).is_some_and(|value| value == UNPROCESSED_TRUE);
     match response.status {
--- a/simulator-adapter/src/wire/settings.rs
+++ b/simulator-adapter/src/wire/settings.rs
@@ -142,7 +142,7 @@
     /// Attempts may be cancelled.
     #[serde(rename = "Cancelling", default)]
     pub(crate) can_cancel: bool,
-    /// Rejected clients may be told when to retry.
+    /// Rejected clients may be sent a time to retry after.
     #[serde(rename = "RetryAfter", default)]
     pub(crate) can_send_retry_after: bool,
     /// A server closes a connection that has been idle for so many milliseconds; absent on sites without
