Handle all that discovery announces in one file of the core

Cause: endpoints/departures.rs took in endpoint lists too, and dispatch what a failed watch means. Change: the file is endpoints/discovery.rs, and a failed watch is handled there.

--- a/limiter-core/src/dispatch.rs
+++ b/limiter-core/src/dispatch.rs
@@ -35,10 +35,7 @@
             Event::EndpointsChanged { complete, endpoints } => {
                 self.on_endpoints_changed(complete, &endpoints, out);
             }
-            Event::WatchFailed => {
-                self.departures.discovery_lost = self.context.settings.must_subscribe;
-                out.push(Action::SubscribeToEndpoints);
-            }
+            Event::WatchFailed => self.on_watch_failed(out),
             Event::RequestArrived(request) => self.on_request(request, out),
             Event::ResponseStarted { id } => self.requests.update(id, |pending| pending.streaming = true),
             Event::AttemptEnded { id, attempt, outcome, elapsed_ms, finished, actual_units } => {
--- a/limiter-core/src/endpoints/departure_log.rs
+++ b/limiter-core/src/endpoints/departure_log.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use super::departures::{MAX_DEPARTURES, RETENTION_MS};
+use super::discovery::{MAX_DEPARTURES, RETENTION_MS};
 use crate::event::Millis;
 
 /// A server that drains or is gone.
--- a/limiter-core/src/endpoints/departures.rs
+++ b/limiter-core/src/endpoints/discovery.rs
@@ -1,5 +1,4 @@
-//! Servers that have departed, learned from peers while discovery does not answer; only where lists are
-//! polled.
+//! What discovery announces of servers, and what peers report of departed ones while it does not answer.
 
 use crate::event::{Action, Endpoint, Millis};
 use crate::gossip::codec::GossipLine;
@@ -27,6 +26,12 @@
         self.drain_queue(out);
     }
 
+    /// Where the list is subscribed to, peers are asked for departures until discovery answers again.
+    pub(crate) fn on_watch_failed(&mut self, out: &mut Vec<Action>) {
+        self.departures.discovery_lost = self.context.settings.must_subscribe;
+        out.push(Action::SubscribeToEndpoints);
+    }
+
     /// A change counts as notified some seconds after discovery had it, whoever that has answered: what it
     /// has announced to others is asked of them, one after the other, until it answers here.
     pub(crate) fn poll_departures(&mut self, out: &mut Vec<Action>) {
