Say in two module heads what the files hold

endpoints/routing.rs chooses from the list that records.rs keeps; endpoints/departures.rs also takes the list's changes in, and its rule holds where lists are subscribed to: no list is polled.

--- a/limiter-core/src/endpoints/departures.rs
+++ b/limiter-core/src/endpoints/departures.rs
@@ -1,5 +1,5 @@
-//! Servers that have departed, learned from peers while discovery does not answer; only where lists are
-//! polled.
+//! Changes of the endpoint list, and servers that have departed: learned from peers while discovery does not
+//! answer, where lists are subscribed to.
 
 use crate::event::{Action, Endpoint, Millis};
 use crate::gossip::codec::GossipLine;
--- a/limiter-core/src/endpoints/routing.rs
+++ b/limiter-core/src/endpoints/routing.rs
@@ -1,4 +1,4 @@
-//! The list of servers and the choice among them: subsets, predicted latency, zones.
+//! The choice of a server for a request: subsets, predicted latency, zones, deduplication scopes.
 
 use super::records::{EndpointRecord, Endpoints};
 use crate::context::Context;
