--- a/limiter-core/src/endpoints/routing.rs
+++ b/limiter-core/src/endpoints/routing.rs
@@ -1,6 +1,6 @@
 //! The choice of a server for a request: subsets, predicted latency, zones, deduplication scopes.
 
-use super::records::{EndpointRecord, Endpoints};
+use super::table::{EndpointRecord, Endpoints};
 use crate::context::Context;
 use crate::event::{EndpointState, Millis, ServerId};
 use crate::request::records::PendingRequest;
--- /dev/null
+++ b/limiter/tests/http_front_end.rs
@@ -0,0 +1,223 @@
+//! What clients may send: good requests are forwarded unchanged, bad ones are answered at once and go nowhere, and
+//! slow, idle or too many clients hurt nobody but themselves.
+
+mod stubs;
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use stubs::*;
+
+#[test]
+fn a_server_gets_the_request_and_the_client_its_body_unchanged() {
+    let body: String = ('a'..='z').cycle().take(50_000).collect();
+    let server = StubServer::responding(&body);
+    let node = NodeProcess::in_front_of(&server);
+    let response = node.request(&request_with_key_and_headers("k1", "X-Ignored: 1\r\n", "hello"));
+    assert_eq!((response.status, response.body.as_str()), (200, body.as_str()));
+    let received = server.received();
+    assert_eq!(received.len(), 1);
+    let request = &received[0];
+    assert!(request.head.starts_with("POST /book/00000000b4d65521?x=1 HTTP/1.1\r\n"), "{}", request.head);
+    assert_eq!(request.header("x-correlation-id").as_deref(), Some("c-k1"));
+    assert_eq!(request.header("idempotency-key").as_deref(), Some("k1"));
+    let time_left_s = request.header("x-time-left").and_then(|time| time.parse::<f64>().ok());
+    let time_left_s = time_left_s.expect("time left");
+    assert!(time_left_s > 0.0 && time_left_s <= 3.0, "{time_left_s}");
+    assert_eq!(request.body, "hello");
+}
+
+fn without_header(request: &str, name: &str) -> String {
+    let kept: Vec<&str> = request.split("\r\n").filter(|line| !line.starts_with(name)).collect();
+    kept.join("\r\n")
+}
+
+/// Guards against bad input reaching the decisions or a server, or ending the program.
+#[test]
+fn bad_requests_are_answered_at_once_and_go_nowhere() {
+    let server = StubServer::responding("fine");
+    let node = NodeProcess::in_front_of(&server);
+    let good = idempotent_request();
+    let without = |name: &str| without_header(&good, name);
+    let too_long = "x".repeat(70_000);
+    for (status, request) in [
+        (400, request_of_class("nothing", "")),
+        (400, good.replace(DEFAULT_CUSTOMER, "b4d65521")),
+        (400, good.replace(DEFAULT_CUSTOMER, "00000000b4d6552g")),
+        (400, good.replace(DEFAULT_CUSTOMER, "f0000000b4d65521")),
+        (400, good.replace("X-Tariff: basic", "X-Tariff: unheard")),
+        (400, without("X-Tariff")),
+        (400, without("X-Correlation-Id")),
+        (400, without("X-Time-Left")),
+        (400, good.replace("X-Time-Left: 3.0", "X-Time-Left: NaN")),
+        (400, good.replace("X-Time-Left: 3.0", "X-Time-Left: -1")),
+        (400, without("X-Weight")),
+        (400, good.replace("units=1", "units=-1")),
+        (400, good.replace("spread=1", "spread=0")),
+        (400, good.replace("first=0", "first=9")),
+        (400, request_with_key("k", "").replace("Idempotency-Key: k\r\n", "")),
+        (405, good.replacen("GET", "DELETE", 1)),
+        (404, good.replace("/look/", "/look/more/")),
+        (404, good.replace("/look/00000000b4d65521?x=1", "/")),
+        (413, request_with_key("k", &too_long)),
+        (400, "GARBAGE\r\n\r\n".to_string()),
+    ] {
+        let began = Instant::now();
+        assert_eq!(node.request(&request).status, status, "{request:.300}");
+        assert!(began.elapsed() < Duration::from_secs(3), "{request:.300}");
+    }
+    assert_eq!(node.request(&good).status, 200);
+    assert_eq!(server.num_received(), 1, "only the good one reached the server");
+}
+
+/// Guards against a request hidden in a body: two readers that go by different framing headers would see another
+/// request behind the first. All of these are rejected, and nothing behind them is read.
+#[test]
+fn ambiguous_framing_is_rejected_and_the_connection_closed() {
+    let server = StubServer::responding("fine");
+    let node = NodeProcess::in_front_of(&server);
+    let hidden = idempotent_request_with_id("c-hidden");
+    let (chunked, length) = ("Transfer-Encoding: chunked\r\n", "Content-Length: 5\r\n");
+    for framing in [
+        format!("{length}{chunked}"),
+        format!("{chunked}{length}"),
+        chunked.to_string(),
+        "Transfer-Encoding: gzip, chunked\r\n".to_string(),
+        format!("Transfer-Encoding: chunked, identity\r\n{length}"),
+        format!("{length}Content-Length: 6\r\n"),
+        "Content-Length: -5\r\n".to_string(),
+        "Content-Length: +5\r\n".to_string(),
+        "Content-Length: 99999999999999999999\r\n".to_string(),
+    ] {
+        let head = request_with_key("k", "").replace("Content-Length: 0\r\n", &framing);
+        let mut client = node.connect();
+        let began = Instant::now();
+        // The rejection may close the connection before all of it is written.
+        let _ = client.write_all(format!("{head}0\r\n\r\n{hidden}").as_bytes());
+        let text = read_until_closed(&mut client, began).text;
+        assert!(text.is_empty() || text.starts_with("HTTP/1.1 4"), "{framing}: {text}");
+        assert!(!text.contains("200 OK"), "{framing}: {text}");
+    }
+    assert!(server.received().is_empty(), "{:?}", server.num_received());
+}
+
+/// Two requests with one id could not be told apart at the servers: the second is rejected while the first is open.
+#[test]
+fn the_id_of_an_open_request_is_not_taken_twice() {
+    let InFlightRequest { servers, node, client: mut first } = InFlightRequest::at_slow_server();
+    let of_other_customer = idempotent_request().replace(DEFAULT_CUSTOMER, "00000000b4d65522");
+    assert_eq!(node.request(&of_other_customer).status, 409);
+    assert_eq!(read_response(&mut first).status, 200);
+    assert_eq!(servers[0].num_received(), 1);
+    assert_eq!(node.request(&idempotent_request()).status, 200, "free again once it is answered");
+}
+
+/// What comes behind an open request is the next one: read ahead, it is neither lost nor reordered.
+#[test]
+fn pipelined_requests_are_answered_in_their_order() {
+    let server = StubServer::echoing();
+    let (node, mut client) = start_with_waiting_request();
+    for n in 0..20 {
+        let request = request_with_key(&format!("k{n}"), &format!("body {n}"));
+        client.write_all(request.as_bytes()).expect("write");
+    }
+    node.discovery.send(&list_change(2, &[serving("s-1", &server)]));
+    assert_eq!(read_response(&mut client).status, 200);
+    for n in 0..20 {
+        assert_eq!(read_response(&mut client).body, format!("body {n}"));
+    }
+}
+
+/// Guards against connections held by silence, by half a request or by one that trickles: each has an error or a
+/// close within 3 s of its first byte. One that has been answered may stay.
+#[test]
+fn connections_with_half_a_request_or_none_end_soon() {
+    let server = StubServer::responding("fine");
+    let node = NodeProcess::in_front_of(&server);
+    let mut keep_alive = node.connect();
+    assert_eq!(exchange(&mut keep_alive, &idempotent_request()).status, 200);
+    let half_body = request_with_key("k", "hello").replace("hello", "he");
+    let half_behind_a_good_one = idempotent_request() + "GET /look/00";
+    let parts = [String::new(), "GET /look/00".to_string(), half_body, half_behind_a_good_one];
+    let mut incomplete: Vec<(TcpStream, Instant)> = parts
+        .iter()
+        .map(|part| {
+            let mut client = node.send(part);
+            if part.contains("\r\n\r\nGET") {
+                assert_eq!(read_response(&mut client).status, 200);
+                client.write_all(b"0").expect("write");
+            }
+            (client, Instant::now())
+        })
+        .collect();
+    let mut trickling = node.connect();
+    let began = Instant::now();
+    while trickling.write_all(b"x").is_ok() {
+        assert!(began.elapsed() < Duration::from_secs(6), "trickled bytes must not extend the time");
+        pause_ms(100);
+    }
+    for ((client, began), part) in incomplete.iter_mut().zip(&parts) {
+        let ClosedConnection { text, elapsed } = read_until_closed(client, *began);
+        assert!(elapsed < Duration::from_secs(6), "{part:?}: {text:?} after {elapsed:?}");
+    }
+    assert_eq!(exchange(&mut keep_alive, &idempotent_request()).status, 200, "an idle good one is kept");
+}
+
+/// Idle connections, half requests and garbage beyond the bound must not shut others out.
+#[test]
+fn idle_and_slow_clients_hurt_only_themselves() {
+    let server = StubServer::responding("fine");
+    let node = NodeProcess::with_server(&server, |configuration| configuration.with_descriptors(100));
+    let mut held = Vec::new();
+    for n in 0..120 {
+        let mut client = node.connect();
+        let text: &[u8] = [&b""[..], b"GET /look/00", b"\0\xff\xfe\r\n"][n % 3];
+        let _ = client.write_all(text);
+        held.push(client);
+    }
+    for _ in 0..5 {
+        assert_eq!(node.request(&idempotent_request()).status, 200);
+    }
+}
+
+/// Fewer descriptors than the configuration promises: accepting fails, is tried again, and service goes on.
+#[test]
+fn service_resumes_after_a_lack_of_descriptors() {
+    let server = StubServer::responding("fine");
+    let node = NodeProcess::with_descriptor_limit(&server, 24);
+    let held: Vec<TcpStream> = (0..60).map(|_| node.connect()).collect();
+    node.wait_log("accept failed: ");
+    drop(held);
+    wait_for("service", || node.request(&idempotent_request()).status == 200);
+}
+
+/// A client whose request comes byte by byte, in less than the time that it has, is served, and those beside it are.
+#[test]
+fn a_slow_client_is_served_and_holds_up_nobody() {
+    let server = StubServer::echoing();
+    let node = NodeProcess::in_front_of(&server);
+    let mut neighbour = node.connect();
+    for (request, body) in [(idempotent_request(), ""), (request_with_key("slow", "slow"), "slow")] {
+        // One that a busy machine has made too slow is sent once more.
+        wait_for("a request in time", || {
+            let mut client = node.connect();
+            client.set_nodelay(true).expect("no delay");
+            let (began, mut is_complete) = (Instant::now(), true);
+            for (n, byte) in request.bytes().enumerate() {
+                is_complete &= client.write_all(&[byte]).is_ok();
+                pause_ms(2);
+                if n % 40 == 20 {
+                    let beside = exchange(&mut neighbour, &request_with_key("beside", "beside"));
+                    assert_eq!(beside.body, "beside");
+                }
+            }
+            let in_time = is_complete && began.elapsed() < Duration::from_millis(1700);
+            if in_time {
+                let response = read_response(&mut client);
+                assert_eq!((response.status, response.body.as_str()), (200, body));
+            }
+            in_time
+        });
+    }
+}
