Take up the names that a first reading of the code stumbled over

Cause: a reader who came fresh to the sources listed names that need their comment: GRANT_MS beside GRANT_RETENTION_MS, two functions called decide, finish and release in a file that knows slots too, refuses, order, had_serving, judge, can_abort, KeyScope beside DedupScope, two files called attempt.rs and others. Change: names alone, and the pages that hold them.

--- a/limiter-core/src/dispatch.rs
+++ b/limiter-core/src/dispatch.rs
@@ -3,7 +3,7 @@
 use crate::admission::CONTROL_STEP_MS;
 use crate::event::{Action, Event, Millis, TimerToken};
 use crate::limiter::Limiter;
-use crate::quota::GRANT_MS;
+use crate::quota::GRANT_VALIDITY_MS;
 use crate::request::records::{AttemptEnd, AttemptKey};
 use crate::settings::Plan;
 
@@ -19,9 +19,9 @@
         let settings = &self.context.settings;
         let fill_ms = |p: &Plan| 1000.0 * (p.ceiling_burst + p.ceiling_slack) / p.ceiling_rate;
         let with_ceiling = settings.plans.iter().filter(|plan| plan.has_ceiling());
-        let longest_ms = with_ceiling.map(|plan| GRANT_MS + fill_ms(plan)).fold(0.0, f64::max);
+        let longest_ms = with_ceiling.map(|plan| GRANT_VALIDITY_MS + fill_ms(plan)).fold(0.0, f64::max);
         let age_ms = now - self.context.started_at;
-        self.has_established_peer || !settings.can_gossip || age_ms >= longest_ms.min(MAX_CEILING_FILL_MS)
+        self.has_older_peer || !settings.can_gossip || age_ms >= longest_ms.min(MAX_CEILING_FILL_MS)
     }
 
     /// Takes one event in at the moment `now` and adds what is to be done to `out`.
@@ -38,9 +38,10 @@
             Event::WatchFailed => self.on_watch_failed(out),
             Event::RequestArrived(request) => self.on_request(request, out),
             Event::ResponseStarted { id } => self.requests.update(id, |pending| pending.streaming = true),
-            Event::AttemptEnded { id, attempt, outcome, elapsed_ms, finished, actual_units } => {
+            Event::AttemptEnded { id, attempt, outcome, elapsed_ms, request_finished, actual_units } => {
                 let key = AttemptKey { request: id, number: attempt };
-                self.on_attempt_ended(AttemptEnd { key, outcome, elapsed_ms, finished, actual_units }, out);
+                let end = AttemptEnd { key, outcome, elapsed_ms, request_finished, actual_units };
+                self.on_attempt_ended(end, out);
             }
             Event::ClientDisconnected { id } => self.on_client_disconnected(id, out),
             Event::ShutdownStarted { deadline } => self.on_shutdown(deadline, out),
@@ -83,7 +84,7 @@
         self.admission.step_feedback(now, self.endpoints.len(), limiters);
         self.drain_queue(out);
         out.extend(self.endpoints.take_ejections().map(Action::LogEjection));
-        self.members.expire(&self.context);
-        self.owners.expire(&self.context);
+        self.member_quotas.expire(&self.context);
+        self.owned_quotas.expire(&self.context);
     }
 }
--- a/limiter-core/src/endpoints/outlier.rs
+++ b/limiter-core/src/endpoints/outlier.rs
@@ -37,7 +37,7 @@
     }
 
     /// Whether it is full, or hangs with attempts in flight.
-    pub(super) fn refuses(&self, now: Millis, in_flight: u32) -> bool {
+    pub(super) fn is_unavailable(&self, now: Millis, in_flight: u32) -> bool {
         let hangs = self.consecutive_timeouts >= MAX_CONSECUTIVE_TIMEOUTS && in_flight > 0;
         now < self.full_until || hangs
     }
--- a/limiter-core/src/endpoints/routing.rs
+++ b/limiter-core/src/endpoints/routing.rs
@@ -30,13 +30,13 @@
     /// request. A server that warms up is considered wherever it stands: its budget would go unused.
     pub(crate) fn pick(&mut self, context: &mut Context, request: &PendingRequest) -> Option<ServerId> {
         let Context { settings, rng, now, .. } = context;
-        let Endpoints { by_id, order, warm_throughput, baseline_latency_ms } = self;
-        let (count, limiters) = (order.len() as f64, f64::from(settings.limiters));
+        let Endpoints { by_id, ids_in_order, warm_throughput, baseline_latency_ms } = self;
+        let (count, limiters) = (ids_in_order.len() as f64, f64::from(settings.limiters));
         let first = ((f64::from(settings.position) * SUBSET_STEP).fract() * count) as usize;
         let subset_size = (LIMITERS_PER_SERVER * count / limiters).max(MIN_SUBSET_SIZE) as usize;
         let mut considered = 0;
         let mut best: Option<(f64, &ServerId)> = None;
-        for server in order[first..].iter().chain(&order[..first]) {
+        for server in ids_in_order[first..].iter().chain(&ids_in_order[..first]) {
             let Some(record) = by_id.get_mut(server) else { continue };
             let is_warm = !record.slow_start.is_warming();
             if (considered >= subset_size && is_warm)
@@ -61,7 +61,7 @@
 impl EndpointRecord {
     /// Whether anything new may be sent there now: serving, not full or hanging, and with budget.
     fn may_have_more(&mut self, now: Millis, warm_throughput: f64, settings: &Settings) -> bool {
-        if self.endpoint.state != EndpointState::Serving || self.health.refuses(now, self.in_flight) {
+        if self.endpoint.state != EndpointState::Serving || self.health.is_unavailable(now, self.in_flight) {
             return false;
         }
         self.slow_start.refill(now, warm_throughput, settings);
--- a/limiter-core/src/endpoints/table.rs
+++ b/limiter-core/src/endpoints/table.rs
@@ -123,7 +123,7 @@
     /// Servers by id.
     pub(super) by_id: BTreeMap<ServerId, EndpointRecord>,
     /// Their ids in the order that all limiters know.
-    pub(super) order: Vec<ServerId>,
+    pub(super) ids_in_order: Vec<ServerId>,
     /// Good responses a second that this limiter gets of a warm server.
     pub(super) warm_throughput: f64,
     /// Latency of good responses, smoothed over all servers.
@@ -163,7 +163,7 @@
             record.fingerprint = endpoint_hash(endpoint) as u32;
             departed.extend((endpoint.state == EndpointState::Draining).then_some(record.fingerprint));
         }
-        self.order = self.by_id.keys().cloned().collect();
+        self.ids_in_order = self.by_id.keys().cloned().collect();
         departed
     }
 
--- a/limiter-core/src/event.rs
+++ b/limiter-core/src/event.rs
@@ -183,7 +183,7 @@
         /// How long it took.
         elapsed_ms: Millis,
         /// The request has its final response, or needs none any more.
-        finished: bool,
+        request_finished: bool,
         /// The units that the request really cost, with the first good response to one of estimated cost.
         actual_units: Option<f64>,
     },
--- a/limiter-core/src/gossip/delivery.rs
+++ b/limiter-core/src/gossip/delivery.rs
@@ -19,7 +19,7 @@
 /// Shortest time to the next flush in milliseconds.
 const MIN_FLUSH_MS: Millis = 1.0;
 /// A peer that started so many milliseconds earlier serves already.
-const ESTABLISHED_PEER_MS: Millis = 2000.0;
+const OLDER_PEER_MS: Millis = 2000.0;
 
 impl WaitingLine {
     /// Whether a line that has waited is still of use to its receiver.
@@ -41,7 +41,7 @@
     pub(crate) fn send_gossip(&mut self, to: u32, line: GossipLine, out: &mut Vec<Action>) {
         if let (true, GossipLine::Settlement(settlement)) = (to == self.context.settings.position, line) {
             let key = GrantKey::own(&self.context, settlement.id);
-            return self.owners.settle(&self.context, key, settlement);
+            return self.owned_quotas.settle(&self.context, key, settlement);
         }
         self.gossip.push(self.context.now, to, line);
         self.flush_gossip(out);
@@ -83,9 +83,8 @@
         }
         let Some(message) = GossipMessage::decode(body) else { return };
         let elder_by_ms = incarnation.wrapping_sub(message.incarnation);
-        self.has_established_peer |=
-            elder_by_ms < u32::MAX / 2 && f64::from(elder_by_ms) >= ESTABLISHED_PEER_MS;
-        self.members.gossip_received(from);
+        self.has_older_peer |= elder_by_ms < u32::MAX / 2 && f64::from(elder_by_ms) >= OLDER_PEER_MS;
+        self.member_quotas.gossip_received(from);
         if let Some(latency) = message.latency {
             self.admission.record_peer_latency(*now, latency);
         }
@@ -94,12 +93,12 @@
         }
     }
 
-    fn on_gossip_line(&mut self, from: u32, sender: u32, line: GossipLine, out: &mut Vec<Action>) {
-        let key = |request| GrantKey { member: from, incarnation: sender, request };
+    fn on_gossip_line(&mut self, from: u32, incarnation: u32, line: GossipLine, out: &mut Vec<Action>) {
+        let key = |request| GrantKey { member: from, incarnation, request };
         match line {
             // After a stall the members that asked have gone on: a reply would only waste units.
             GossipLine::QuotaRequest(request) if self.resumed_at < self.context.now => {
-                if let Some(reply) = self.owners.decide(&self.context, key(request.id), &request) {
+                if let Some(reply) = self.owned_quotas.decide(&self.context, key(request.id), &request) {
                     self.send_gossip(from, GossipLine::GrantReply(reply), out);
                 }
             }
@@ -107,7 +106,7 @@
                 self.on_grant_reply(from, &reply, out);
             }
             GossipLine::Settlement(settlement) => {
-                self.owners.settle(&self.context, key(settlement.id), settlement);
+                self.owned_quotas.settle(&self.context, key(settlement.id), settlement);
             }
             GossipLine::DeparturesPoll => self.report_departures(from, out),
             GossipLine::Departed(fingerprint) if self.departures.discovery_lost => {
--- a/limiter-core/src/limiter.rs
+++ b/limiter-core/src/limiter.rs
@@ -18,15 +18,15 @@
     pub(crate) requests: RequestTable,
     pub(crate) retry_budget: RetryBudget,
     pub(crate) admission: Admission,
-    pub(crate) members: MemberQuotas,
-    pub(crate) owners: OwnedQuotas,
+    pub(crate) member_quotas: MemberQuotas,
+    pub(crate) owned_quotas: OwnedQuotas,
     pub(crate) gossip: GossipQueue,
     pub(crate) endpoints: Endpoints,
     pub(crate) departures: Departures,
     /// When the last response has to be given; infinite before the shutdown.
     pub(crate) shutdown_deadline: Millis,
     /// A peer has been heard that started long before.
-    pub(crate) has_established_peer: bool,
+    pub(crate) has_older_peer: bool,
     /// When this limiter last went on after a stall.
     pub(crate) resumed_at: Millis,
     /// When the last control step was made.
@@ -60,13 +60,13 @@
             requests: RequestTable::default(),
             retry_budget: RetryBudget::new(),
             admission: Admission::new(now),
-            members: MemberQuotas::new(now),
-            owners: OwnedQuotas::default(),
+            member_quotas: MemberQuotas::new(now),
+            owned_quotas: OwnedQuotas::default(),
             gossip: GossipQueue::new(now),
             endpoints: Endpoints::default(),
             departures: Departures::new(),
             shutdown_deadline: f64::INFINITY,
-            has_established_peer: false,
+            has_older_peer: false,
             resumed_at: f64::NEG_INFINITY,
             last_step_at: now,
             is_started: false,
@@ -88,8 +88,8 @@
 
     /// How much is remembered at this moment.
     pub fn cache_sizes(&self) -> CacheSizes {
-        let (owner_quotas, grants) = self.owners.sizes();
-        let (member_quotas, requests) = (self.members.len(), self.requests.pending.len());
+        let (owner_quotas, grants) = self.owned_quotas.sizes();
+        let (member_quotas, requests) = (self.member_quotas.len(), self.requests.pending.len());
         CacheSizes { member_quotas, owner_quotas, grants, requests }
     }
 }
--- a/limiter-core/src/quota/member.rs
+++ b/limiter-core/src/quota/member.rs
@@ -37,7 +37,7 @@
 /// Fraction of the latency objective in which owners are asked; then the even share decides.
 const REPLY_DEADLINE_FRACTION: f64 = 0.4;
 /// Milliseconds for which the fraction of grants is remembered: longer than owners are silent.
-pub(super) const GRANT_FRACTION_MS: Millis = 60_000.0;
+pub(super) const GRANT_FRACTION_SPAN_MS: Millis = 60_000.0;
 
 impl MemberQuotas {
     /// Forgets customers not seen for long.
@@ -82,7 +82,7 @@
         let (plan, units) = (context.plan(request), request.cost_units);
         let Some(quota) = self.quotas.get_mut(&QuotaKey::of(request)) else { return false };
         let holds_request = quota.refill_even_share(context.now, plan.rate, plan.burst, request);
-        let owner_has_room = quota.owner_tokens - units >= plan.burst * MIN_OWNER_TOKENS_FRACTION;
+        let owner_has_room = quota.estimated_owner_tokens - units >= plan.burst * MIN_OWNER_TOKENS_FRACTION;
         holds_request && quota.even_share.level >= units && owner_has_room
     }
 
@@ -100,7 +100,7 @@
         let holds_request = quota.refill_even_share(now, rate, capacity, request);
         let is_known = quota.last_reply_at > f64::NEG_INFINITY;
         let by_reply = is_known.then(|| quota.demand_ratio.max(1.0).recip());
-        let usual = by_reply.or(self.unknown_customer_grants.value(now)).unwrap_or(0.0);
+        let usual = by_reply.or(self.unknown_customer_grant_fraction.value(now)).unwrap_or(0.0);
         let chance = if holds_request { 0.0 } else { (quota.even_share.level / units).max(usual) };
         let admitted = quota.even_share.level >= units || context.rng.f64() < chance;
         if admitted || chance > 0.0 {
@@ -122,16 +122,16 @@
         else {
             return self.request_grant(id, out);
         };
-        let covered = self.members.even_share_covers(&self.context, &request);
-        let quota_request = self.members.quota_request(&request);
+        let covered = self.member_quotas.even_share_covers(&self.context, &request);
+        let quota_request = self.member_quotas.quota_request(&request);
         let key = GrantKey::own(&self.context, id);
-        let mut decide_here = || self.owners.decide(&self.context, key, &quota_request);
+        let mut decide_here = || self.owned_quotas.decide(&self.context, key, &quota_request);
         if !covered || (has_ceiling && !decide_here().is_some_and(|reply| reply.granted)) {
             // Refused here: should the first owner be silent, this one is asked again.
-            self.owners.forget_grant(key);
+            self.owned_quotas.forget_grant(key);
             return self.request_grant(id, out);
         }
-        self.members.spend_even_share(&request);
+        self.member_quotas.spend_even_share(&request);
         self.requests.update(id, |pending| pending.granting_owner = Some(owner));
         let spent = QuotaRequest { already_spent: true, ..quota_request };
         self.send_gossip(owner, GossipLine::QuotaRequest(spent), out);
@@ -150,13 +150,13 @@
             let Some(owner) = self.owner_of(request, pending.owner_rank).filter(|_| in_time) else {
                 return self.admit_without_owner(id, out);
             };
-            let quota_request = self.members.quota_request(request);
+            let quota_request = self.member_quotas.quota_request(request);
             if owner == self.context.settings.position {
                 let key = GrantKey::own(&self.context, id);
-                if let Some(reply) = self.owners.decide(&self.context, key, &quota_request) {
+                if let Some(reply) = self.owned_quotas.decide(&self.context, key, &quota_request) {
                     return self.on_grant_reply(owner, &reply, out);
                 }
-            } else if self.context.settings.can_gossip && !self.members.is_silent(owner, now) {
+            } else if self.context.settings.can_gossip && !self.member_quotas.is_silent(owner, now) {
                 return self.send_quota_request(owner, quota_request, out);
             }
             self.requests.update(id, PendingRequest::pass_over_owner);
@@ -169,17 +169,17 @@
 
     fn send_quota_request(&mut self, owner: u32, quota_request: QuotaRequest, out: &mut Vec<Action>) {
         let (now, id) = (self.context.now, quota_request.id);
-        self.members.last_request_at = now;
+        self.member_quotas.last_request_at = now;
         self.requests.update(id, |pending| pending.await_reply(AwaitedReply { owner, asked_at: now }));
         let transfer_ms = REPLY_INTERVALS * self.context.settings.event_interval_ms;
-        let after_ms = self.members.usual_reply_wait_ms * LATE_REPLY_FACTOR + transfer_ms;
+        let after_ms = self.member_quotas.usual_reply_wait_ms * LATE_REPLY_FACTOR + transfer_ms;
         out.push(Action::SetTimer { after_ms, token: TimerToken::GrantReply(id) });
         self.send_gossip(owner, GossipLine::QuotaRequest(quota_request), out);
     }
 
     /// Asks again, then the next owner: messages get lost, and owners may be dead, stalled or cut off.
     pub(crate) fn check_grant_reply(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let (now, late_ms) = (self.context.now, self.members.usual_reply_wait_ms * LATE_REPLY_FACTOR);
+        let (now, late_ms) = (self.context.now, self.member_quotas.usual_reply_wait_ms * LATE_REPLY_FACTOR);
         let Some(pending) = self.requests.get(id) else { return };
         let Some(AwaitedReply { owner, asked_at }) = pending.awaited_reply else { return };
         let in_time = now - pending.arrived_at < self.reply_deadline_ms(&pending.request);
@@ -191,7 +191,7 @@
             let after_ms = since + late_ms - now + self.context.settings.event_interval_ms;
             return out.push(Action::SetTimer { after_ms, token: TimerToken::GrantReply(id) });
         }
-        self.members.record_miss(owner, now);
+        self.member_quotas.record_miss(owner, now);
         self.requests.update(id, |pending| {
             pending.awaited_reply = None;
             if pending.quota_requests >= REQUESTS_PER_OWNER {
@@ -204,7 +204,7 @@
     /// Takes an owner's reply in, whenever it comes in time.
     pub(crate) fn on_grant_reply(&mut self, from: u32, reply: &GrantReply, out: &mut Vec<Action>) {
         let now = self.context.now;
-        self.members.record_reply(now, reply);
+        self.member_quotas.record_reply(now, reply);
         let is_own = from == self.context.settings.position;
         let waits = |pending: &&mut PendingRequest| {
             let asked = is_own || pending.awaited_reply.is_some();
@@ -213,13 +213,13 @@
         let Some(pending) = self.requests.get_mut(reply.id).filter(waits) else { return };
         if let Some(awaited) = pending.awaited_reply.take().filter(|awaited| awaited.owner == from) {
             let wait_ms = now - awaited.asked_at;
-            self.members.usual_reply_wait_ms +=
-                REPLY_WAIT_WEIGHT * (wait_ms - self.members.usual_reply_wait_ms);
+            self.member_quotas.usual_reply_wait_ms +=
+                REPLY_WAIT_WEIGHT * (wait_ms - self.member_quotas.usual_reply_wait_ms);
         }
         pending.admitted_at = now;
         pending.granting_owner = reply.granted.then_some(from);
         if !reply.granted || pending.grant_expired(&self.context) {
-            self.finish(reply.id, out);
+            self.reject_or_fail(reply.id, out);
         } else {
             self.forward_or_queue(reply.id, out);
         }
@@ -227,9 +227,9 @@
 
     fn admit_without_owner(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(pending) = self.requests.pending.get_mut(&id) else { return };
-        match self.members.decide_without_owner(&mut self.context, &pending.request) {
+        match self.member_quotas.decide_without_owner(&mut self.context, &pending.request) {
             None => return,
-            Some(false) => return self.finish(id, out),
+            Some(false) => return self.reject_or_fail(id, out),
             Some(true) => {}
         }
         pending.admitted_at = self.context.now;
--- a/limiter-core/src/quota/member_state.rs
+++ b/limiter-core/src/quota/member_state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::member::{GRANT_FRACTION_MS, INITIAL_REPLY_WAIT_MS, REPLY_VALIDITY_MS};
+use super::member::{GRANT_FRACTION_SPAN_MS, INITIAL_REPLY_WAIT_MS, REPLY_VALIDITY_MS};
 use super::records::QuotaKey;
 use crate::decay::DecayingMean;
 use crate::event::{Millis, Request};
@@ -21,7 +21,7 @@
     pub last_reply_at: Millis,
     /// Units in the owner's bucket by its last reply, less what was spent here since; full until a reply
     /// comes.
-    pub owner_tokens: f64,
+    pub estimated_owner_tokens: f64,
     /// Units shed since the last reply, which the owner does not know of.
     pub unreported_units: f64,
     /// When the customer was last seen.
@@ -36,7 +36,7 @@
             even_share: TokenBucket::new(plan.burst / f64::from(member_count), now),
             demand_ratio: 0.0,
             last_reply_at: f64::NEG_INFINITY,
-            owner_tokens: plan.burst,
+            estimated_owner_tokens: plan.burst,
             unreported_units: 0.0,
             last_used_at: now,
         }
@@ -78,7 +78,7 @@
     /// When an owner was last asked.
     pub(super) last_request_at: Millis,
     /// Fraction of the requests of customers without a valid reply that were granted.
-    pub(super) unknown_customer_grants: DecayingMean,
+    pub(super) unknown_customer_grant_fraction: DecayingMean,
     /// Smoothed time from a quota request to its reply.
     pub(super) usual_reply_wait_ms: Millis,
 }
@@ -91,7 +91,7 @@
             owner_misses: BTreeMap::new(),
             misses_since_gossip: 0,
             last_request_at: f64::NEG_INFINITY,
-            unknown_customer_grants: DecayingMean::new(now, GRANT_FRACTION_MS),
+            unknown_customer_grant_fraction: DecayingMean::new(now, GRANT_FRACTION_SPAN_MS),
             usual_reply_wait_ms: INITIAL_REPLY_WAIT_MS,
         }
     }
@@ -117,12 +117,12 @@
     pub(super) fn record_reply(&mut self, now: Millis, reply: &GrantReply) {
         let Some(quota) = self.quotas.get_mut(&reply.quota()) else { return };
         if now - quota.last_reply_at > REPLY_VALIDITY_MS {
-            self.unknown_customer_grants.add(now, if reply.granted { 1.0 } else { 0.0 });
+            self.unknown_customer_grant_fraction.add(now, if reply.granted { 1.0 } else { 0.0 });
         }
         quota.demand_ratio = f64::from(reply.demand_ratio);
         quota.last_reply_at = now;
         quota.unreported_units = 0.0;
-        quota.owner_tokens = f64::from(reply.tokens_left);
+        quota.estimated_owner_tokens = f64::from(reply.tokens_left);
     }
 
     /// An owner has not replied in time.
@@ -136,7 +136,7 @@
     pub(super) fn spend_even_share(&mut self, request: &Request) {
         if let Some(quota) = self.quotas.get_mut(&QuotaKey::of(request)) {
             quota.even_share.level -= request.cost_units;
-            quota.owner_tokens -= request.cost_units;
+            quota.estimated_owner_tokens -= request.cost_units;
         }
     }
 }
--- a/limiter-core/src/quota/owner.rs
+++ b/limiter-core/src/quota/owner.rs
@@ -12,7 +12,7 @@
 const BACKUP_QUOTA_FRACTION: f64 = 0.5;
 /// Milliseconds after its arrival in which a request may spend units granted under a ceiling; until then the
 /// owner counts them as outstanding. Waits for a reply and in the queue fit in.
-pub(crate) const GRANT_MS: Millis = 500.0;
+pub(crate) const GRANT_VALIDITY_MS: Millis = 500.0;
 /// Milliseconds that an owner remembers its decisions.
 const GRANT_RETENTION_MS: Millis = 8000.0;
 /// Milliseconds over which demand is smoothed: the time of a whole burst, within these bounds.
@@ -43,7 +43,7 @@
         }
         quota.refill(context.now, plan, tokens_fraction);
         quota.demand.add(context.now, f64::from(request.units) + f64::from(request.unreported_units));
-        let grant = quota.decide(context.now, plan, request);
+        let grant = quota.try_grant(context.now, plan, request);
         let reply = reply(quota, grant.granted);
         self.grants.insert(key, grant);
         Some(reply)
@@ -67,7 +67,7 @@
         grants.retain(|_, grant| {
             let age_ms = context.now - grant.decided_at;
             if let Some(quota) = quotas.get_mut(&grant.quota) {
-                if age_ms > GRANT_MS {
+                if age_ms > GRANT_VALIDITY_MS {
                     quota.end_outstanding(grant);
                 }
                 // A lost settlement must not count as in flight for ever.
@@ -98,7 +98,7 @@
 impl OwnerQuota {
     /// Grants what fits under every quota. What a member has already spent takes its units in any case, but
     /// from the rate quota alone: the member had its own part of the ceiling.
-    fn decide(&mut self, now: Millis, plan: &Plan, request: &QuotaRequest) -> GrantRecord {
+    fn try_grant(&mut self, now: Millis, plan: &Plan, request: &QuotaRequest) -> GrantRecord {
         let units = f64::from(request.units);
         let within_rate = plan.rate <= 0.0 || self.tokens.level >= units;
         let within_flight = plan.max_in_flight == 0 || self.in_flight < plan.max_in_flight;
--- a/limiter-core/src/quota/owner_state.rs
+++ b/limiter-core/src/quota/owner_state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::owner::{GRANT_MS, MAX_DEMAND_SPAN_MS, MIN_ADMITTED_RATE, MIN_DEMAND_SPAN_MS};
+use super::owner::{GRANT_VALIDITY_MS, MAX_DEMAND_SPAN_MS, MIN_ADMITTED_RATE, MIN_DEMAND_SPAN_MS};
 use super::records::{GrantKey, QuotaKey};
 use crate::context::Context;
 use crate::decay::DecayingSum;
@@ -76,7 +76,7 @@
     /// earlier start of this limiter may have granted has expired.
     pub(super) fn new(context: &Context, plan: &Plan, tokens_fraction: f64, ceiling_fraction: f64) -> Self {
         let now = context.now;
-        let ceiling_fills_at = context.started_at + GRANT_MS;
+        let ceiling_fills_at = context.started_at + GRANT_VALIDITY_MS;
         let burst_ms = 1000.0 * plan.burst / plan.rate.max(1e-9);
         let demand = DecayingSum::new(now, burst_ms.clamp(MIN_DEMAND_SPAN_MS, MAX_DEMAND_SPAN_MS));
         OwnerQuota {
--- a/limiter-core/src/request/mod.rs
+++ b/limiter-core/src/request/mod.rs
@@ -6,6 +6,7 @@
 use crate::event::{Action, Millis, Outcome, Request, RequestId, ServerId, TimerToken};
 use crate::gossip::codec::{GossipLine, Settlement};
 use crate::limiter::Limiter;
+use crate::quota::GRANT_VALIDITY_MS;
 use crate::settings::Idempotency;
 use records::{AttemptEnd, AttemptRecord, PendingRequest, PossibleExecution};
 
@@ -26,9 +27,9 @@
     /// Whether the rules and the time left allow another attempt.
     fn may_be_attempted(&self, context: &Context) -> bool {
         let (class, now) = (context.class(&self.request), context.now);
-        let worthless = now - self.arrived_at > class.latency_objective_ms && class.late_value <= 0.0;
-        let exhausted = self.attempts >= context.settings.max_attempts || now >= self.deadline;
-        if self.in_flight || self.streaming || worthless || exhausted {
+        let has_no_value = now - self.arrived_at > class.latency_objective_ms && class.late_value <= 0.0;
+        let is_spent = self.attempts >= context.settings.max_attempts || now >= self.deadline;
+        if self.in_flight || self.streaming || has_no_value || is_spent {
             return false;
         }
         match class.idempotency {
@@ -41,7 +42,7 @@
     /// Units granted under a ceiling that were not spent in time count no more against the owner's ceiling.
     pub(crate) fn grant_expired(&self, context: &Context) -> bool {
         let age_ms = context.now - self.arrived_at;
-        self.attempts == 0 && context.plan(&self.request).has_ceiling() && age_ms > crate::quota::GRANT_MS
+        self.attempts == 0 && context.plan(&self.request).has_ceiling() && age_ms > GRANT_VALIDITY_MS
     }
 }
 
@@ -55,7 +56,7 @@
         request.member_count = request.member_count.clamp(1, settings.limiters);
         request.first_member %= settings.limiters;
         self.admission.record_cost(request.cost_units);
-        if self.members.shed_probabilistically(&mut self.context, &request) {
+        if self.member_quotas.shed_probabilistically(&mut self.context, &request) {
             out.push(self.rejection(&request));
             return;
         }
@@ -87,7 +88,7 @@
 
     /// What a server still does for the request is of no use, and would hold a connection and slots.
     pub(crate) fn on_client_disconnected(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(request) = self.release(id, out) else { return };
+        let Some(request) = self.remove_and_settle(id, out) else { return };
         if request.in_flight && self.context.settings.can_cancel {
             out.push(Action::CancelAttempt { id, attempt: request.last_attempt().number });
         }
@@ -147,13 +148,13 @@
     /// Takes the end of an attempt in; one that is not known counts only if it finishes its request.
     pub(crate) fn on_attempt_ended(&mut self, end: AttemptEnd, out: &mut Vec<Action>) {
         let id = end.key.request;
-        if !self.requests.attempts.contains_key(&end.key) && !end.finished {
+        if !self.requests.attempts.contains_key(&end.key) && !end.request_finished {
             return;
         }
         self.requests.update(id, |request| request.actual_units = end.actual_units);
         self.record_attempt_end(&end);
-        if end.finished || end.outcome == Outcome::Ok {
-            self.release(id, out);
+        if end.request_finished || end.outcome == Outcome::Ok {
+            self.remove_and_settle(id, out);
         } else {
             self.retry_or_finish(id, out);
         }
@@ -179,22 +180,22 @@
     fn retry_or_finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let may_retry = self.requests.get(id).is_some_and(|request| request.may_be_attempted(&self.context));
         if !may_retry || !self.retry_budget.allows_retry() {
-            return self.finish(id, out);
+            return self.reject_or_fail(id, out);
         }
         self.retry_budget.withdraw();
         self.forward_or_queue(id, out);
     }
 
     /// Gives the final response: a rejection where a retry is safe, else a failure that promises nothing.
-    pub(crate) fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(request) = self.release(id, out) else { return };
+    pub(crate) fn reject_or_fail(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(request) = self.remove_and_settle(id, out) else { return };
         if request.in_flight && self.context.settings.can_cancel {
             let key = request.last_attempt();
             self.requests.attempts.entry(key).and_modify(|attempt| attempt.cancelled = true);
             out.push(Action::CancelAttempt { id, attempt: key.number });
         }
-        let repeatable = self.context.class(&request.request).idempotency == Idempotency::Idempotent;
-        if repeatable || (request.possible_execution.is_none() && !request.in_flight) {
+        let is_idempotent = self.context.class(&request.request).idempotency == Idempotency::Idempotent;
+        if is_idempotent || (request.possible_execution.is_none() && !request.in_flight) {
             out.push(self.rejection(&request.request));
         } else {
             out.push(Action::Fail { id });
@@ -215,7 +216,7 @@
     }
 
     /// Forgets a request and reports to the owner of its quota what it really cost.
-    fn release(&mut self, id: RequestId, out: &mut Vec<Action>) -> Option<PendingRequest> {
+    fn remove_and_settle(&mut self, id: RequestId, out: &mut Vec<Action>) -> Option<PendingRequest> {
         let request = self.requests.pending.remove(&id)?;
         let Some(owner) = request.granting_owner else { return Some(request) };
         let expected = request.request.cost_units;
@@ -239,7 +240,7 @@
             // A retry that was queued may have outlived the time in which servers drop duplicates.
             let allowed = !request.grant_expired(&self.context) && request.may_be_attempted(&self.context);
             if overdue || !allowed {
-                self.finish(id, out);
+                self.reject_or_fail(id, out);
             } else if !self.try_forward(id, out) {
                 self.requests.queue.push_front(id);
                 return;
@@ -250,10 +251,10 @@
     pub(crate) fn on_request_timer(&mut self, id: RequestId, token: TimerToken, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(id).filter(|request| !request.streaming) else { return };
         match token {
-            TimerToken::Deadline(_) if self.context.now >= request.deadline => self.finish(id, out),
+            TimerToken::Deadline(_) if self.context.now >= request.deadline => self.reject_or_fail(id, out),
             // A late response would have no value: finishing now frees the server.
             TimerToken::LatencyObjective(_) if self.context.class(&request.request).late_value <= 0.0 => {
-                self.finish(id, out);
+                self.reject_or_fail(id, out);
             }
             TimerToken::SilenceCheck(_) => self.check_silence(id, out),
             TimerToken::GrantReply(_) => self.check_grant_reply(id, out),
--- a/limiter-core/src/request/records.rs
+++ b/limiter-core/src/request/records.rs
@@ -134,7 +134,7 @@
     /// How long it took.
     pub elapsed_ms: Millis,
     /// The request has its final response, or needs none any more.
-    pub finished: bool,
+    pub request_finished: bool,
     /// What the request really cost, once a response has reported it.
     pub actual_units: Option<f64>,
 }
--- a/limiter-core/tests/common/fixtures.rs
+++ b/limiter-core/tests/common/fixtures.rs
@@ -121,8 +121,8 @@
 
 /// The event that an attempt ended; only a good response finishes its request.
 pub fn attempt_ended(id: RequestId, attempt: u32, outcome: Outcome, elapsed_ms: Millis) -> Event {
-    let finished = outcome == Outcome::Ok;
-    Event::AttemptEnded { id, attempt, outcome, elapsed_ms, finished, actual_units: None }
+    let request_finished = outcome == Outcome::Ok;
+    Event::AttemptEnded { id, attempt, outcome, elapsed_ms, request_finished, actual_units: None }
 }
 
 /// The event that discovery has announced these servers and that the others are as they were.
--- a/limiter-core/tests/quota_owner.rs
+++ b/limiter-core/tests/quota_owner.rs
@@ -15,7 +15,7 @@
             attempt: 0,
             outcome: Outcome::Ok,
             elapsed_ms: 5.0,
-            finished: true,
+            request_finished: true,
             actual_units,
         });
         num_forwarded_of(&mut limiter, 2..30, WITH_RATE)
--- a/limiter/src/config/mod.rs
+++ b/limiter/src/config/mod.rs
@@ -17,7 +17,7 @@
 use file::ConfigFile;
 use limits::{ConnectionLimits, TooFewConnections};
 use shutdown::ShutdownTimes;
-use site::SiteBounds;
+use site::SiteSettings;
 
 /// Names the file.
 const FILE_VARIABLE: &str = "ROUTER_CONFIG";
@@ -91,7 +91,7 @@
         let listen = lookup.text(LISTEN_VARIABLE, "listen", file.listen.take())?.address()?;
         let discovery = lookup.text(DISCOVERY_VARIABLE, "discovery", file.discovery.take())?.address()?;
         let seed = seed(&path, file.seed.as_deref())?;
-        let bounds = SiteBounds::new(&file.settings);
+        let bounds = SiteSettings::new(&file.settings);
         let server_idle_ms = idle_ms(&path, bounds.server_idle_ms)?;
         let (settings, names) = file
             .settings
--- a/limiter/src/discovery/policy.rs
+++ b/limiter/src/discovery/policy.rs
@@ -48,7 +48,7 @@
     /// Bound of the backoff after many failures.
     pub max_backoff: Duration,
     /// After a wait in vain discovery is called again without a backoff.
-    pub retry_silence_at_once: bool,
+    pub retry_timeout_immediately: bool,
 }
 
 impl WatchPolicy {
@@ -66,7 +66,7 @@
             response_timeout: PUSHED_RESPONSE_TIMEOUT,
             initial_backoff: PUSHED_INITIAL_BACKOFF,
             max_backoff: PUSHED_MAX_BACKOFF,
-            retry_silence_at_once: true,
+            retry_timeout_immediately: true,
         }
     }
 
@@ -78,7 +78,7 @@
             initial_backoff: initial_backoff
                 .clamp(SUBSCRIBED_MIN_INITIAL_BACKOFF, SUBSCRIBED_MAX_INITIAL_BACKOFF),
             max_backoff: max_backoff.clamp(SUBSCRIBED_MIN_BACKOFF_CAP, SUBSCRIBED_MAX_BACKOFF_CAP),
-            retry_silence_at_once: false,
+            retry_timeout_immediately: false,
         }
     }
 }
--- a/limiter/src/discovery/tests.rs
+++ b/limiter/src/discovery/tests.rs
@@ -76,7 +76,7 @@
     let policy = WatchPolicy::new(&fleet_settings());
     let mut backoff = Backoff::new(policy, 1);
     let longest = (0..50).map(|_| backoff.after_failure(Duration::ZERO)).max().unwrap_or_default();
-    assert!(longest <= Duration::from_millis(50) && policy.retry_silence_at_once, "{longest:?}");
+    assert!(longest <= Duration::from_millis(50) && policy.retry_timeout_immediately, "{longest:?}");
     assert!(longest + policy.response_timeout <= Duration::from_millis(250), "{:?}", policy.response_timeout);
 }
 
--- a/limiter/src/discovery/watch.rs
+++ b/limiter/src/discovery/watch.rs
@@ -133,7 +133,7 @@
         } else {
             self.backoff.after_failure(elapsed)
         };
-        if is_silent && self.policy.retry_silence_at_once {
+        if is_silent && self.policy.retry_timeout_immediately {
             Duration::ZERO
         } else {
             backoff
--- a/limiter/src/engine/endpoint_table.rs
+++ b/limiter/src/engine/endpoint_table.rs
@@ -20,7 +20,7 @@
 pub struct EndpointTable {
     endpoints: HashMap<ServerId, KnownEndpoint>,
     /// A server that takes requests has been announced at some time.
-    had_serving: bool,
+    ever_had_serving: bool,
 }
 
 impl EndpointTable {
@@ -35,8 +35,8 @@
     }
 
     /// Whether a server that takes requests has ever been announced.
-    pub fn had_serving(&self) -> bool {
-        self.had_serving
+    pub fn ever_had_serving(&self) -> bool {
+        self.ever_had_serving
     }
 
     /// Takes an update in, logs what has changed, and closes idle connections that are of no more use.
@@ -63,7 +63,7 @@
         let ResolvedEndpoint { endpoint, address } = listed;
         let serving = endpoint.state == EndpointState::Serving;
         let removed = endpoint.state == EndpointState::Removed;
-        self.had_serving |= serving;
+        self.ever_had_serving |= serving;
         let before = if removed {
             self.endpoints.remove(&endpoint.server)
         } else {
--- a/limiter/src/engine/mod.rs
+++ b/limiter/src/engine/mod.rs
@@ -19,7 +19,7 @@
 use limiter_core::{Action, Event, Limiter, Millis, Outcome, Request, RequestId, ServerId, SettingsError};
 use tokio::sync::Notify;
 
-use crate::attempt::{AttemptId, AttemptJob, AttemptResult};
+use crate::attempt_job::{AttemptId, AttemptJob, AttemptResult};
 use crate::config::Config;
 use crate::endpoints::EndpointUpdate;
 use crate::log::Logger;
@@ -102,7 +102,7 @@
     }
 
     /// What an agent on this machine has counts as announced from the first moment: until it is heard, nothing may be
-    /// sent by an older list. Where lists are asked for, the list counts at once.
+    /// sent by an older list. where lists are subscribed to, the list counts at once.
     fn take_configured_list(self: &Rc<Self>) {
         let Some(list) = &self.config.known_endpoints else { return };
         let list = EndpointUpdate { complete: true, ..list.resolve(&self.config.names) };
@@ -153,7 +153,7 @@
         let heard = self.discovery_heard.get() || age_ms > self.discovery_patience_ms();
         let state = self.state.borrow();
         let can_serve = state.endpoints.any_serving() && state.limiter.is_ready(self.now());
-        let waited = !state.endpoints.had_serving() && age_ms > MAX_STARTUP_MS;
+        let waited = !state.endpoints.ever_had_serving() && age_ms > MAX_STARTUP_MS;
         !self.shutting_down.get() && (waited || (heard && can_serve))
     }
 
@@ -230,17 +230,17 @@
     pub fn attempt_ended(self: &Rc<Self>, id: AttemptId, result: AttemptResult) {
         let mut state = self.state.borrow_mut();
         let Some(started_at) = state.pending.attempt_ended(id) else { return };
-        let mut finished = !state.pending.contains(id.request);
+        let mut request_finished = !state.pending.contains(id.request);
         if result.outcome == Outcome::Ok {
             state.pending.respond(id.request, FinalResponse::Served(result.body.unwrap_or_default()));
-            finished = true;
+            request_finished = true;
         }
         let event = Event::AttemptEnded {
             id: id.request,
             attempt: id.number,
             outcome: result.outcome,
             elapsed_ms: self.now() - started_at,
-            finished,
+            request_finished,
             actual_units: result.actual_units,
         };
         self.dispatch_event(&mut state, event);
@@ -301,16 +301,16 @@
     ) {
         let Some(attempt) = state.pending.next_attempt(id) else { return };
         let now = self.now();
-        if attempt.beside_another {
+        if attempt.another_in_flight {
             self.log(&format!("request {id}: a second attempt beside the first was not sent"));
         }
-        if attempt.beside_another || state.endpoints.serving_address(&server).is_none() {
+        if attempt.another_in_flight || state.endpoints.serving_address(&server).is_none() {
             state.events.push_back(Event::AttemptEnded {
                 id,
                 attempt: attempt.id.number,
                 outcome: Outcome::NotSent,
                 elapsed_ms: 0.0,
-                finished: false,
+                request_finished: false,
                 actual_units: None,
             });
             return;
--- a/limiter/src/engine/pending.rs
+++ b/limiter/src/engine/pending.rs
@@ -7,11 +7,11 @@
 use limiter_core::{Millis, Outcome, RequestId};
 use tokio::sync::oneshot;
 
-use crate::attempt::AttemptId;
+use crate::attempt_job::AttemptId;
 use crate::request::{FinalResponse, ForwardedRequest};
 
 /// A request that waits for its final response.
-struct PendingRequest {
+struct SubmittedRequest {
     content: Rc<ForwardedRequest>,
     response: oneshot::Sender<FinalResponse>,
     deadline: Millis,
@@ -34,13 +34,13 @@
     /// When the client gives up.
     pub deadline: Millis,
     /// Another attempt of the same request is in flight: this one must not be made.
-    pub beside_another: bool,
+    pub another_in_flight: bool,
 }
 
 /// All requests that wait, by id and by correlation id.
 #[derive(Default)]
 pub struct PendingRequests {
-    requests: HashMap<RequestId, PendingRequest>,
+    requests: HashMap<RequestId, SubmittedRequest>,
     correlation_ids: HashSet<HeaderValue>,
     in_flight: HashMap<AttemptId, InFlightAttempt>,
     next_id: RequestId,
@@ -61,7 +61,7 @@
         let (response, receiver) = oneshot::channel();
         let content = Rc::new(content);
         let pending =
-            PendingRequest { content, response, deadline, attempts: 0, has_attempt_in_flight: false };
+            SubmittedRequest { content, response, deadline, attempts: 0, has_attempt_in_flight: false };
         self.requests.insert(id, pending);
         Some((id, receiver))
     }
@@ -84,7 +84,7 @@
         true
     }
 
-    fn take(&mut self, id: RequestId) -> Option<PendingRequest> {
+    fn take(&mut self, id: RequestId) -> Option<SubmittedRequest> {
         let pending = self.requests.remove(&id)?;
         self.correlation_ids.remove(&pending.content.correlation_id);
         Some(pending)
@@ -96,7 +96,7 @@
         let id = AttemptId { request, number: pending.attempts };
         pending.attempts += 1;
         let (content, deadline) = (pending.content.clone(), pending.deadline);
-        Some(NewAttempt { id, content, deadline, beside_another: pending.has_attempt_in_flight })
+        Some(NewAttempt { id, content, deadline, another_in_flight: pending.has_attempt_in_flight })
     }
 
     /// Counts an attempt as in flight; what the receiver gets tells how it is cancelled.
--- a/limiter/src/frontend/connection_state.rs
+++ b/limiter/src/frontend/connection_state.rs
@@ -130,7 +130,7 @@
     }
 
     /// Whether it may be closed without the loss of a response, or because its client does not read that.
-    pub(super) fn can_abort(&self) -> bool {
+    pub(super) fn is_safe_to_close(&self) -> bool {
         let client_does_not_read =
             || self.is_writing_response.get() && self.last_active.get().elapsed() > WRITE_TIMEOUT;
         !self.has_open_request.get() || client_does_not_read()
@@ -150,7 +150,7 @@
         } else {
             MIN_IDLE_BEFORE_EVICTION
         };
-        self.can_abort() && self.last_active.get().elapsed() > min_age
+        self.is_safe_to_close() && self.last_active.get().elapsed() > min_age
     }
 
     /// The least of these is evicted first: one that has sent no request or a part of one, the oldest, else the one
@@ -162,7 +162,7 @@
     /// Whether the shutdown has to wait for it: a response is owed or on its way, or it has been answered and is not
     /// closed yet. Connections that have sent no request are not waited for: faulty clients open new ones without
     /// end, and a limiter that lingers for them is missed.
-    pub(super) fn has_unanswered(&self) -> bool {
+    pub(super) fn must_be_awaited(&self) -> bool {
         self.has_open_request.get() || !self.has_incomplete_request()
     }
 
@@ -188,7 +188,7 @@
         self.shutdown.notified()
     }
 
-    /// Asks the connection's task to close at once, if [`ConnectionState::can_abort`] still holds then.
+    /// Asks the connection's task to close at once, if [`ConnectionState::is_safe_to_close`] still holds then.
     pub(super) fn request_abort(&self) {
         self.abort.notify_one();
     }
--- a/limiter/src/frontend/connections.rs
+++ b/limiter/src/frontend/connections.rs
@@ -66,16 +66,16 @@
             tokio::time::sleep(SWEEP_INTERVAL).await;
             let idle_timeout = if self.is_shutting_down() { SHUTDOWN_IDLE_TIMEOUT } else { IDLE_TIMEOUT };
             for state in self.by_id.borrow().values() {
-                if state.can_abort() && state.is_overdue(idle_timeout) {
+                if state.is_safe_to_close() && state.is_overdue(idle_timeout) {
                     state.request_abort();
                 }
             }
         }
     }
 
-    /// Whether any response is owed or on its way. See [`ConnectionState::has_unanswered`].
-    pub(super) fn has_unanswered(&self) -> bool {
-        self.by_id.borrow().values().any(|state| state.has_unanswered())
+    /// Whether any response is owed or on its way. See [`ConnectionState::must_be_awaited`].
+    pub(super) fn must_be_awaited(&self) -> bool {
+        self.by_id.borrow().values().any(|state| state.must_be_awaited())
     }
 
     /// Closes the connection that can be spared most, if one can. Guards against crowds that hold connections, or
--- a/limiter/src/frontend/shutdown.rs
+++ b/limiter/src/frontend/shutdown.rs
@@ -80,11 +80,11 @@
 
     async fn all_is_finished(&self, connections: &Connections) -> bool {
         let NextStep::Return { closed_at } = self.next_step else { return false };
-        if closed_at.elapsed() < LAST_ACCEPTED_READ_TIME || connections.has_unanswered() {
+        if closed_at.elapsed() < LAST_ACCEPTED_READ_TIME || connections.must_be_awaited() {
             return false;
         }
         read_all_that_arrived(connections).await;
-        !connections.has_unanswered()
+        !connections.must_be_awaited()
     }
 }
 
--- a/limiter/src/main.rs
+++ b/limiter/src/main.rs
@@ -2,7 +2,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-mod attempt;
+mod attempt_job;
 mod config;
 mod discovery;
 mod endpoints;
--- a/limiter/src/upstream/attempt.rs
+++ b/limiter/src/upstream/attempt.rs
@@ -11,7 +11,7 @@
 
 use super::connection::{ConnectError, RequestSender};
 use super::Servers;
-use crate::attempt::{AttemptJob, AttemptResult};
+use crate::attempt_job::{AttemptJob, AttemptResult};
 use crate::engine::Engine;
 use crate::request::{CORRELATION_ID, IDEMPOTENCY_KEY, MAX_BODY_BYTES, TIME_LEFT};
 
@@ -89,13 +89,13 @@
     let mut connection = servers.connection_to(engine, &job.server, address).await?;
     check_still_wanted(engine, job, address)?;
     let request = build_request(job, address, job.deadline - engine.now())?;
-    let response = connection.drive(async move |sender| exchange(sender, request).await).await?;
+    let response = connection.drive(async move |sender| send_request(sender, request).await).await?;
     // A server that takes no requests by now gets none on this connection, and nobody would close it.
     let is_serving = engine.serving_address(&job.server) == Some(address);
     if is_serving && connection.is_alive() {
         servers.keep_idle(&job.server, connection);
     }
-    Ok(judge(response, servers.max_request_units))
+    Ok(classify_response(response, servers.max_request_units))
 }
 
 /// The wait for a connection may have outlived the server's readiness, the client's patience, or the window in which
@@ -130,7 +130,7 @@
     request.body(Full::new(forwarded.body.clone()))
 }
 
-async fn exchange(
+async fn send_request(
     sender: &mut RequestSender,
     request: Request<Full<Bytes>>,
 ) -> Result<ServerResponse, AttemptError> {
@@ -167,7 +167,7 @@
 }
 
 /// What a response means for the core.
-fn judge(response: ServerResponse, max_request_units: f64) -> AttemptResult {
+fn classify_response(response: ServerResponse, max_request_units: f64) -> AttemptResult {
     let unprocessed = response.headers.get(UNPROCESSED).is_some_and(|value| value == UNPROCESSED_TRUE);
     match response.status {
         StatusCode::OK => AttemptResult {
--- a/limiter/src/upstream/mod.rs
+++ b/limiter/src/upstream/mod.rs
@@ -12,7 +12,7 @@
 use limiter_core::{Millis, Outcome, ServerId};
 use tokio::sync::oneshot;
 
-use crate::attempt::AttemptJob;
+use crate::attempt_job::AttemptJob;
 use crate::config::Config;
 use crate::engine::{Engine, Upstream};
 use attempt::send_and_receive;
--- a/simulator-adapter/src/convert/event.rs
+++ b/simulator-adapter/src/convert/event.rs
@@ -6,7 +6,7 @@
 
 use crate::error::MessageError;
 use crate::names::{NameIndex, UnknownName};
-use crate::wire::event::{AttemptEnd, EndpointCondition, EndpointRecord, OutcomeCode, RequestArrival};
+use crate::wire::event::{AttemptEnd, EndpointCondition, EndpointEntry, OutcomeCode, RequestArrival};
 
 /// A request that arrived.
 pub(crate) fn request(arrival: &RequestArrival, names: &NameIndex) -> Result<Request, MessageError> {
@@ -33,13 +33,13 @@
         attempt: end.attempt,
         outcome: end.outcome.into(),
         elapsed_ms: end.elapsed_ms,
-        finished: end.finished,
+        request_finished: end.request_finished,
         actual_units: end.actual_units.filter(|units| *units > 0.0),
     }
 }
 
 /// A server that discovery announces.
-pub(crate) fn endpoint(record: &EndpointRecord, names: &NameIndex) -> Result<Endpoint, UnknownName> {
+pub(crate) fn endpoint(record: &EndpointEntry, names: &NameIndex) -> Result<Endpoint, UnknownName> {
     Ok(Endpoint {
         server: Arc::from(record.server.as_str()),
         zone: names.zone(&record.zone)?,
--- a/simulator-adapter/src/convert/settings.rs
+++ b/simulator-adapter/src/convert/settings.rs
@@ -5,7 +5,7 @@
 
 use crate::names::{NameIndex, UnknownName};
 use crate::wire::settings::{
-    ClassSettings, DiscoveryMode, IdempotencyKind, InstanceSettings, KeyScope, PlanSettings,
+    ClassSettings, DedupScopeKind, DiscoveryMode, IdempotencyKind, InstanceSettings, PlanSettings,
 };
 
 /// Why settings that are well-formed contradict themselves.
@@ -43,7 +43,7 @@
             gossip_messages_per_s: self.service.gossip_messages_per_s,
             must_subscribe: self.discovery == DiscoveryMode::Subscribe,
             cold_capacity_fraction: self.slow_start.cold_capacity_fraction,
-            slow_start_ms: self.slow_start.duration_ms,
+            slow_start_ms: self.slow_start.slow_start_ms,
             overload_factor: self.slow_start.overload_factor,
             overload_ms: self.slow_start.overload_ms,
         };
@@ -98,12 +98,12 @@
     }
 }
 
-impl From<KeyScope> for DedupScope {
-    fn from(scope: KeyScope) -> DedupScope {
+impl From<DedupScopeKind> for DedupScope {
+    fn from(scope: DedupScopeKind) -> DedupScope {
         match scope {
-            KeyScope::All => DedupScope::All,
-            KeyScope::Zone => DedupScope::Zone,
-            KeyScope::Cell => DedupScope::Cell,
+            DedupScopeKind::All => DedupScope::All,
+            DedupScopeKind::Zone => DedupScope::Zone,
+            DedupScopeKind::Cell => DedupScope::Cell,
         }
     }
 }
--- a/simulator-adapter/src/host.rs
+++ b/simulator-adapter/src/host.rs
@@ -11,7 +11,7 @@
 use crate::hex;
 use crate::names::NameIndex;
 use crate::wire::action::{OutboundBatch, OutboundMessage};
-use crate::wire::event::{EndpointRecord, EndpointScope, InboundBatch, InboundMessage, RequestArrival};
+use crate::wire::event::{EndpointEntry, EndpointScope, InboundBatch, InboundMessage, RequestArrival};
 use crate::wire::settings::InstanceSettings;
 
 struct Instance {
@@ -25,7 +25,7 @@
 pub(crate) struct Host {
     instances: BTreeMap<String, Instance>,
     /// Endpoint lists by their page; a page that is sent again counts for the messages after it.
-    endpoint_pages: BTreeMap<u32, Vec<EndpointRecord>>,
+    endpoint_pages: BTreeMap<u32, Vec<EndpointEntry>>,
     /// Empty between messages; kept for its capacity.
     actions: Vec<Action>,
 }
--- a/simulator-adapter/src/wire/event.rs
+++ b/simulator-adapter/src/wire/event.rs
@@ -42,7 +42,7 @@
     EndpointPage {
         page: u32,
         #[serde(rename = "Elements")]
-        endpoints: Vec<EndpointRecord>,
+        endpoints: Vec<EndpointEntry>,
     },
     /// Discovery announces the endpoints of a page, or has failed.
     #[serde(rename = "BACKENDS_CHANGED")]
@@ -157,7 +157,7 @@
     pub elapsed_ms: Millis,
     /// The request has its final response, or needs none any more.
     #[serde(rename = "NoMore", default)]
-    pub finished: bool,
+    pub request_finished: bool,
     /// What the request really cost.
     #[serde(rename = "Actual")]
     pub actual_units: Option<f64>,
@@ -182,7 +182,7 @@
 /// A server as discovery announces it.
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
-pub(crate) struct EndpointRecord {
+pub(crate) struct EndpointEntry {
     /// Identifies the server.
     pub server: String,
     /// Name of its zone.
--- a/simulator-adapter/src/wire/settings.rs
+++ b/simulator-adapter/src/wire/settings.rs
@@ -64,7 +64,7 @@
     pub(crate) idempotency: IdempotencyKind,
     /// Which servers drop duplicates together; required with [`IdempotencyKind::WithKey`].
     #[serde(rename = "KeyScope")]
-    pub(crate) dedup_scope: Option<KeyScope>,
+    pub(crate) dedup_scope: Option<DedupScopeKind>,
     /// Fraction of its value that a response after the latency objective still has.
     #[serde(rename = "LateWorth", default)]
     pub late_value: f64,
@@ -89,7 +89,7 @@
 /// Which servers share the record of the idempotency keys that they have seen.
 #[derive(Deserialize, Clone, Copy)]
 #[serde(rename_all = "snake_case")]
-pub(crate) enum KeyScope {
+pub(crate) enum DedupScopeKind {
     /// All servers.
     All,
     /// The servers of one zone.
@@ -159,7 +159,7 @@
     pub cold_capacity_fraction: f64,
     /// Time after its start by which a server has its full capacity.
     #[serde(rename = "ColdMs")]
-    pub duration_ms: Millis,
+    pub slow_start_ms: Millis,
     /// A server that is warming up fails under this multiple of its capacity...
     #[serde(rename = "FallMultiple")]
     pub overload_factor: f64,
