--- a/limiter-core/src/admission/cost_classes.rs
+++ b/limiter-core/src/admission/cost_classes.rs
@@ -6,7 +6,7 @@
 
 /// Number of classes.
 const CLASSES: usize = 4;
-/// Least upper bound that is divided by.
+/// Least divisor in place of the highest class's lower bound.
 const MIN_HIGHEST_BOUND: f64 = 1e-9;
 
 /// Classes of requests by their cost in units.
@@ -17,7 +17,7 @@
 }
 
 impl CostClasses {
-    /// Takes the cost of a request that arrives into account.
+    /// Records the cost of an arriving request.
     pub fn record(&mut self, cost_units: f64) {
         self.recent_costs.push_back(cost_units);
         self.recent_costs.drain(..self.recent_costs.len().saturating_sub(COST_SAMPLES));
--- a/limiter-core/src/admission/mod.rs
+++ b/limiter-core/src/admission/mod.rs
@@ -1,5 +1,4 @@
-//! Admission control by slots with feedback, after "Classification-based Adjusted Slot Admission Control for
-//! Query Processing Engines" (CASA).
+//! CASA: admission by slots with feedback ("Classification-based Adjusted Slot Admission Control").
 
 mod cost_classes;
 pub(crate) mod state;
@@ -7,25 +6,26 @@
 use crate::event::Millis;
 use state::Admission;
 
-/// Slot limit at the start: generous; it binds once the error turns positive.
+/// Slot limit at the start and at the most: generous, so that it binds only after an overload.
 pub(super) const INITIAL_SLOT_LIMIT: f64 = 4096.0;
-/// Slots a server that the limits of all limiters together keep at least: a lower limit starves itself.
+/// Least slots a server over all limiters: with a lower limit too little completes for it to grow again.
 const MIN_SLOTS_PER_SERVER: f64 = 6.0;
-/// Slots that one limiter keeps at least.
+/// Least slot limit of one limiter.
 const MIN_SLOT_LIMIT: f64 = 2.0;
 /// Fraction of the objective above which smoothed latency makes the error positive. Low, since latency tells
 /// of a queue only once it is served: at half the objective a flood had filled the servers by then.
 const TARGET_LATENCY_FRACTION: f64 = 0.25;
-/// Milliseconds between two steps of the feedback...
+/// Milliseconds between two control steps, and so between two steps of the feedback.
 pub(crate) const CONTROL_STEP_MS: Millis = 100.0;
-/// ...and in which numBigQueries moves by error times damping.
+/// Milliseconds in which numBigQueries moves by error times damping.
 const FULL_CORRECTION_MS: Millis = 1000.0;
-/// Largest alpha: with more, one costly request fills a bound limit and the back end idles.
+/// Largest alpha: with more, one costly request takes up the whole slot limit while servers are idle.
 const MAX_ALPHA: f64 = 2.0;
-/// Measurements are smoothed over so many samples; older ones decay, which also ages them after a stall...
+/// Measurements are smoothed over so many samples; older ones decay, also after a stall.
 const SMOOTHING_SAMPLES: f64 = 20.0;
-/// ...within these bounds of time.
+/// Shortest smoothing time in milliseconds.
 pub(super) const MIN_SMOOTHING_MS: Millis = 1000.0;
+/// Longest smoothing time in milliseconds.
 const MAX_SMOOTHING_MS: Millis = 10_000.0;
 /// Growth of the limit in one step with a negative error, while more than half of it is used: an unused limit
 /// says nothing of what the back end could take.
@@ -46,7 +46,7 @@
         self.occupied_slots <= 0.0 || self.busy_slots(now) + slots <= self.slot_limit
     }
 
-    /// One limiter of hundreds sees a few requests a second: its measurements go over enough of them.
+    /// Smooths over as many requests as needed: a limiter in a large fleet sees only a few a second.
     pub fn adapt_smoothing(&mut self, now: Millis) {
         let admitted_per_ms = self.signals.admitted.rate(now) / 1000.0;
         let span_ms = SMOOTHING_SAMPLES / admitted_per_ms.max(1e-9);
--- a/limiter-core/src/admission/state.rs
+++ b/limiter-core/src/admission/state.rs
@@ -1,4 +1,4 @@
-//! The state of admission control, and the smoothed measurements that it goes by.
+//! The state of admission control, and the smoothed measurements on which it is based.
 
 use super::cost_classes::CostClasses;
 use super::{INITIAL_SLOT_LIMIT, MIN_SMOOTHING_MS};
@@ -14,9 +14,9 @@
     pub latency: DecayingMean,
     /// Fraction of the attempts that full servers rejected.
     pub rejected: DecayingMean,
-    /// Good responses.
+    /// Successful responses.
     pub completed: DecayingSum,
-    /// Sum of the latency objectives of good responses.
+    /// Sum of the latency objectives of successful responses.
     pub objectives_ms: DecayingSum,
     /// Requests that had to wait for slots or a server (CASA's Re).
     pub queued: DecayingSum,
@@ -63,7 +63,7 @@
     pub(super) slot_limit: f64,
     /// CASA's numBigQueries: how many costly requests the limit has room for.
     pub(super) num_big_queries: f64,
-    /// What the feedback goes by.
+    /// Input of the feedback.
     pub(super) signals: Signals,
 }
 
@@ -80,7 +80,7 @@
         }
     }
 
-    /// Takes the cost of a request that arrives into account.
+    /// Records the cost of an arriving request.
     pub fn record_cost(&mut self, cost_units: f64) {
         self.cost_classes.record(cost_units);
     }
@@ -135,8 +135,8 @@
         }
         let signals = &mut self.signals;
         if !outcome.never_executed() {
-            // One heavy request says no more than that it missed its objective: a mean of clipped values is
-            // not driven by a few. Guards against heavy tails and stuck servers throttling everyone.
+            // Clipped: a heavy request or a hung server counts only as a missed objective, so that a few cannot
+            // throttle all traffic.
             let latency = (elapsed_ms / objective_ms).min(1.0);
             signals.local_latency.add(now, latency);
             signals.latency.add(now, latency);
--- a/limiter-core/src/decay.rs
+++ b/limiter-core/src/decay.rs
@@ -32,7 +32,7 @@
         self.value(now) * 1000.0 / self.span_ms
     }
 
-    /// Whether anything was ever added.
+    /// Whether nothing was ever added.
     pub fn is_zero(&self) -> bool {
         self.sum <= 0.0
     }
--- a/limiter-core/src/dispatch.rs
+++ b/limiter-core/src/dispatch.rs
@@ -37,7 +37,7 @@
             }
             Event::WatchFailed => self.on_watch_failed(out),
             Event::RequestArrived(request) => self.on_request(request, out),
-            Event::ResponseStarted { id } => self.requests.update(id, |pending| pending.streaming = true),
+            Event::ResponseStarted { id } => self.requests.update(id, |pending| pending.is_streaming = true),
             Event::AttemptEnded { id, attempt, outcome, elapsed_ms, request_finished, actual_units } => {
                 let key = AttemptKey { request: id, number: attempt };
                 let end = AttemptEnd { key, outcome, elapsed_ms, request_finished, actual_units };
--- a/limiter-core/src/endpoints/discovery.rs
+++ b/limiter-core/src/endpoints/discovery.rs
@@ -37,10 +37,8 @@
     pub(crate) fn poll_departures(&mut self, out: &mut Vec<Action>) {
         let (now, limiters) = (self.context.now, self.context.settings.limiters);
         let can_poll = self.context.settings.can_gossip && limiters > 1;
-        if self.departures.discovery_lost
-            && can_poll
-            && now - self.departures.last_poll_at >= POLL_INTERVAL_MS
-        {
+        let is_due = now - self.departures.last_poll_at >= POLL_INTERVAL_MS;
+        if self.departures.discovery_lost && can_poll && is_due {
             self.departures.last_poll_at = now;
             let peer = (self.context.settings.position + self.context.rng.u32(1..limiters)) % limiters;
             self.send_gossip(peer, GossipLine::DeparturesPoll, out);
--- a/limiter-core/src/endpoints/outlier.rs
+++ b/limiter-core/src/endpoints/outlier.rs
@@ -9,8 +9,9 @@
 const MAX_ERROR_RATE: f64 = 0.4;
 /// Attempts in a row without a response at which a server is ejected.
 const MAX_CONSECUTIVE_TIMEOUTS: u32 = 3;
-/// First and longest ejection in milliseconds; it doubles in between.
+/// First ejection in milliseconds; each further one is twice as long.
 const MIN_EJECTION_MS: Millis = 1000.0;
+/// Longest ejection in milliseconds.
 const MAX_EJECTION_MS: Millis = 8000.0;
 /// Milliseconds that a full server is passed over.
 const FULL_MS: Millis = 100.0;
--- a/limiter-core/src/endpoints/routing.rs
+++ b/limiter-core/src/endpoints/routing.rs
@@ -6,9 +6,9 @@
 use crate::request::records::PendingRequest;
 use crate::settings::{DedupScope, Idempotency, Settings};
 
-/// Limiters that use one warm server: few, so that each learns soon which are slow...
+/// Limiters that use one warm server: few, so that each soon learns which are slow.
 const LIMITERS_PER_SERVER: f64 = 8.0;
-/// ...and servers that a limiter uses at least.
+/// Smallest number of servers that a limiter uses.
 const MIN_SUBSET_SIZE: f64 = 2.0;
 /// Golden ratio: neighbouring limiters, which share customers, start far apart in the list, and all evenly.
 const SUBSET_STEP: f64 = 0.618_034;
@@ -84,7 +84,7 @@
     match class.dedup_scope {
         _ if class.idempotency != Idempotency::WithKey => true,
         DedupScope::All => true,
-        DedupScope::Zone => record.endpoint.zone == execution.zone,
-        DedupScope::Cell => record.endpoint.cell == execution.cell,
+        DedupScope::Zone => record.endpoint.zone == execution.location.zone,
+        DedupScope::Cell => record.endpoint.cell == execution.location.cell,
     }
 }
--- a/limiter-core/src/endpoints/slow_start.rs
+++ b/limiter-core/src/endpoints/slow_start.rs
@@ -9,7 +9,7 @@
 
 /// Milliseconds over which the throughput of warm servers is measured, the guide for those that warm up.
 pub(super) const WARM_THROUGHPUT_SPAN_MS: Millis = 5000.0;
-/// Fraction of that time after which a limiter that has just started trusts its measurement in full.
+/// Least age of a limiter, as a fraction of that time, from which its measurement is extrapolated.
 const MIN_MEASURED_FRACTION: f64 = 0.1;
 /// Limiters that warm one server up, its warming set, the first by rendezvous hashing: each may have saved up
 /// one request, so that hundreds could overload it in one moment, and each would pay for a connection.
@@ -26,12 +26,12 @@
     /// few warm ones left it came to many times what a server can do. With none left the last figure stands.
     pub(crate) fn update_slow_start(&mut self, context: &Context) {
         let now = context.now;
-        let (throughput, warm) = self.warm_completions(now);
-        if warm > 0 {
+        let warm = self.warm_completions(now);
+        if warm.servers > 0 {
             // Over the time since the start: else servers wait for seconds at a new limiter.
             let age_ms = (now - context.started_at).max(WARM_THROUGHPUT_SPAN_MS * MIN_MEASURED_FRACTION);
             let measured = 1.0 - (-age_ms / WARM_THROUGHPUT_SPAN_MS).exp();
-            self.warm_throughput = throughput / measured / f64::from(warm);
+            self.warm_throughput = warm.responses_per_s / measured / f64::from(warm.servers);
         }
         for record in self.by_id.values_mut() {
             record.slow_start.refill(now, self.warm_throughput, &context.settings);
--- a/limiter-core/src/endpoints/table.rs
+++ b/limiter-core/src/endpoints/table.rs
@@ -9,7 +9,7 @@
 use crate::decay::DecayingSum;
 use crate::event::{Ejection, EjectionReason, Endpoint, EndpointState, Millis, Outcome, ServerId};
 use crate::hashing::endpoint_hash;
-use crate::request::records::AttemptRecord;
+use crate::request::records::{AttemptRecord, ServerLocation};
 use crate::token_bucket::TokenBucket;
 
 /// What this limiter has seen of a server's health.
@@ -117,6 +117,15 @@
     }
 }
 
+/// Successful responses of the warm servers in service.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct WarmCompletions {
+    /// Successful responses a second of all of them.
+    pub responses_per_s: f64,
+    /// How many there are.
+    pub servers: u32,
+}
+
 /// The announced servers.
 #[derive(Debug, Default)]
 pub(crate) struct Endpoints {
@@ -136,7 +145,7 @@
         self.by_id.len()
     }
 
-    /// Takes an announcement in; the fingerprints of the servers that drain or are gone.
+    /// Applies an announcement; returns the fingerprints of draining and removed servers.
     pub(super) fn update(
         &mut self,
         context: &mut Context,
@@ -175,22 +184,24 @@
         }
     }
 
-    /// Records the end of an attempt; zone and cell of its server.
+    /// Records the end of an attempt; where its server is.
     pub(crate) fn attempt_ended(
         &mut self,
         now: Millis,
         attempt: &AttemptRecord,
         outcome: Outcome,
         elapsed_ms: Millis,
-    ) -> (u32, u32) {
+    ) -> ServerLocation {
         if outcome == Outcome::Ok {
             let weight = if self.baseline_latency_ms > 0.0 { BASELINE_WEIGHT } else { 1.0 };
             self.baseline_latency_ms += weight * (elapsed_ms - self.baseline_latency_ms);
         }
-        let Some(record) = self.by_id.get_mut(&attempt.server) else { return (0, 0) };
+        let Some(record) = self.by_id.get_mut(&attempt.server) else {
+            return ServerLocation::default();
+        };
         record.in_flight = record.in_flight.saturating_sub(1);
         record.health.record(now, outcome, elapsed_ms, attempt.cancelled);
-        (record.endpoint.zone, record.endpoint.cell)
+        ServerLocation { zone: record.endpoint.zone, cell: record.endpoint.cell }
     }
 
     /// An attempt got no response in time.
@@ -208,17 +219,17 @@
         })
     }
 
-    /// Good responses a second of the warm servers in service, and how many there are.
-    pub(super) fn warm_completions(&self, now: Millis) -> (f64, u32) {
-        let (mut throughput, mut warm) = (0.0, 0);
+    /// What the warm servers in service complete.
+    pub(super) fn warm_completions(&self, now: Millis) -> WarmCompletions {
+        let mut warm = WarmCompletions { responses_per_s: 0.0, servers: 0 };
         for record in self.by_id.values().filter(|record| record.is_warm_and_serving()) {
-            warm += 1;
+            warm.servers += 1;
             // Most servers of a large fleet have never responded here: their rate costs nothing.
             if !record.health.completions.is_zero() {
-                throughput += record.health.completions.rate(now);
+                warm.responses_per_s += record.health.completions.rate(now);
             }
         }
-        (throughput, warm)
+        warm
     }
 
     /// Marks the server of a fingerprint as draining; false if it is not serving.
--- a/limiter-core/src/event.rs
+++ b/limiter-core/src/event.rs
@@ -85,9 +85,9 @@
     pub timeout_ms: Millis,
     /// Its cost in quota units, declared or estimated.
     pub cost_units: f64,
-    /// How many limiters receive this customer's requests, the members of its quota...
+    /// Number of limiters that receive this customer's requests: the members of its quota.
     pub member_count: u32,
-    /// ...counted in a ring from this position.
+    /// Position of the first member; the others follow it in a ring.
     pub first_member: u32,
 }
 
--- a/limiter-core/src/gossip/codec.rs
+++ b/limiter-core/src/gossip/codec.rs
@@ -1,12 +1,12 @@
-//! The bytes of gossip messages: a header with the sender's start and latency, then lines of several kinds.
+//! The bytes of gossip messages: a header with the sender's incarnation and latency, then lines of several kinds.
 //! What is sent, and what is made of it, is decided elsewhere.
 
 use crate::event::{CustomerId, RequestId};
 
-/// First byte of each message: another format is not read.
-const FORMAT_MARK: u8 = 0xfd;
-/// The checksum in the header.
-const CHECKSUM: std::ops::Range<usize> = 1..3;
+/// First byte of each message (magic number); a message that begins with another is ignored.
+const FORMAT_MAGIC: u8 = 0xfd;
+/// Position of the checksum in a message.
+const CHECKSUM_RANGE: std::ops::Range<usize> = 1..3;
 /// Bytes of the header: mark, checksum, start of the sender, its latency.
 const HEADER_BYTES: usize = 8;
 /// Most bytes of a message.
@@ -22,7 +22,7 @@
 mod kind {
     pub const QUOTA_REQUEST: u8 = 1;
     pub const GRANTED: u8 = 2;
-    pub const REFUSED: u8 = 3;
+    pub const NOT_GRANTED: u8 = 3;
     pub const SETTLEMENT: u8 = 4;
     pub const UNITS_SPENT: u8 = 5;
     pub const DEPARTURES_POLL: u8 = 6;
@@ -118,7 +118,7 @@
     pub customer: CustomerId,
     /// Index of the plan in the settings.
     pub plan: u8,
-    /// The member's start that asked.
+    /// Incarnation of the member that asked.
     pub member_incarnation: u32,
     /// The customer's demand at all limiters as a multiple of its quota.
     pub demand_ratio: f32,
@@ -167,7 +167,7 @@
                 request.write(body);
             }
             GossipLine::GrantReply(reply) => {
-                body.push(if reply.granted { kind::GRANTED } else { kind::REFUSED });
+                body.push(if reply.granted { kind::GRANTED } else { kind::NOT_GRANTED });
                 reply.write(body);
             }
             GossipLine::Settlement(settlement) => {
@@ -187,7 +187,7 @@
             kind::QUOTA_REQUEST => GossipLine::QuotaRequest(QuotaRequest::read(rest, false)?),
             kind::UNITS_SPENT => GossipLine::QuotaRequest(QuotaRequest::read(rest, true)?),
             kind::GRANTED => GossipLine::GrantReply(GrantReply::read(rest, true)?),
-            kind::REFUSED => GossipLine::GrantReply(GrantReply::read(rest, false)?),
+            kind::NOT_GRANTED => GossipLine::GrantReply(GrantReply::read(rest, false)?),
             kind::SETTLEMENT => GossipLine::Settlement(Settlement::read(rest)?),
             kind::DEPARTURES_POLL => GossipLine::DeparturesPoll,
             kind::DEPARTED => GossipLine::Departed(u32::read(rest)?),
@@ -217,7 +217,7 @@
 /// A message between limiters.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct GossipMessage {
-    /// The sender's start.
+    /// The sender's incarnation.
     pub incarnation: u32,
     /// The sender's latency as a fraction of the objective, if it has any.
     pub latency: Option<f64>,
@@ -228,7 +228,7 @@
 impl GossipMessage {
     /// The bytes of the message.
     pub fn encode(&self) -> Vec<u8> {
-        let mut body = vec![FORMAT_MARK, 0, 0];
+        let mut body = vec![FORMAT_MAGIC, 0, 0];
         self.incarnation.write(&mut body);
         let encode = |latency: f64| (latency.clamp(0.0, 1.0) * f64::from(FULL_LATENCY)).round() as u8;
         body.push(self.latency.map_or(NO_LATENCY, encode));
@@ -236,19 +236,19 @@
             line.write(&mut body);
         }
         let checksum = checksum(&body).to_be_bytes();
-        body[CHECKSUM].copy_from_slice(&checksum);
+        body[CHECKSUM_RANGE].copy_from_slice(&checksum);
         body
     }
 
     /// Reads a message; nothing unless all of it is valid.
     pub fn decode(body: &[u8]) -> Option<GossipMessage> {
         if body.len() < HEADER_BYTES
-            || body[0] != FORMAT_MARK
-            || body[CHECKSUM] != checksum(body).to_be_bytes()
+            || body[0] != FORMAT_MAGIC
+            || body[CHECKSUM_RANGE] != checksum(body).to_be_bytes()
         {
             return None;
         }
-        let mut rest = &body[CHECKSUM.end..];
+        let mut rest = &body[CHECKSUM_RANGE.end..];
         let incarnation = u32::read(&mut rest)?;
         let latency = u8::read(&mut rest)?;
         let latency = (latency != NO_LATENCY).then(|| f64::from(latency) / f64::from(FULL_LATENCY));
@@ -260,9 +260,16 @@
     }
 }
 
-/// Sum over all bytes but the checksum's own, each times an odd number that grows with its place.
+/// Sum over all bytes but the checksum's own, each times an odd number that grows with its position.
 fn checksum(body: &[u8]) -> u16 {
-    let counted = body.iter().zip(0u32..).filter(|(_, place)| !CHECKSUM.contains(&(*place as usize)));
-    let sum = counted.map(|(byte, place)| u32::from(*byte) * (2 * place + 3)).fold(0, u32::wrapping_add);
+    let counted =
+        body.iter().zip(0u32..).filter(|(_, position)| !CHECKSUM_RANGE.contains(&(*position as usize)));
+    let sum = counted
+        .map(|(byte, position)| u32::from(*byte) * checksum_weight(position))
+        .fold(0, u32::wrapping_add);
     (sum % CHECKSUM_MODULUS) as u16
 }
+
+fn checksum_weight(position: u32) -> u32 {
+    2 * position + 3
+}
--- a/limiter-core/src/gossip/delivery.rs
+++ b/limiter-core/src/gossip/delivery.rs
@@ -8,9 +8,9 @@
 use crate::quota::records::GrantKey;
 use crate::request::records::RequestTable;
 
-/// Fraction of the receivers' message allowance that this limiter sends...
+/// Fraction of the receivers' message allowance that this limiter sends.
 const ALLOWANCE_FRACTION: f64 = 0.8;
-/// ...and seconds of it that may be sent at once.
+/// Seconds of its allowance that this limiter may send at once.
 const BURST_S: f64 = 0.1;
 /// Milliseconds after which a reply that still waits to be sent comes too late for its member.
 const REPLY_EXPIRY_MS: Millis = 250.0;
--- a/limiter-core/src/limiter.rs
+++ b/limiter-core/src/limiter.rs
@@ -78,7 +78,7 @@
     pub fn is_live(&self, token: TimerToken) -> bool {
         match token {
             TimerToken::Deadline(id) | TimerToken::LatencyObjective(id) => self.requests.get(id).is_some(),
-            TimerToken::SilenceCheck(id) => self.requests.get(id).is_some_and(|pending| pending.in_flight),
+            TimerToken::SilenceCheck(id) => self.requests.get(id).is_some_and(|pending| pending.is_in_flight),
             TimerToken::GrantReply(id) => {
                 self.requests.get(id).is_some_and(|pending| pending.awaited_reply.is_some())
             }
--- a/limiter-core/src/quota/member.rs
+++ b/limiter-core/src/quota/member.rs
@@ -1,6 +1,6 @@
 //! The member of a quota: its even share, probabilistic shedding, grant requests, decisions without an owner.
 
-use super::member_state::{MemberQuota, MemberQuotas};
+use super::member_state::{LocalDecision, MemberQuota, MemberQuotas};
 use super::owner::retention_ms;
 use super::placement;
 use super::records::{GrantKey, MemberRange, QuotaKey};
@@ -18,13 +18,13 @@
 const SHEDDING_DEMAND_FACTOR: f64 = 1.5;
 /// Quota requests to one owner before the next is asked.
 const REQUESTS_PER_OWNER: u32 = 2;
-/// Misses in a row at which an owner counts as silent...
+/// Consecutive quota requests without a reply after which an owner counts as silent.
 const SILENT_OWNER_MISSES: u32 = 3;
-/// ...and for how many milliseconds.
+/// Milliseconds for which a silent owner is not asked.
 const SILENT_OWNER_MS: Millis = 1000.0;
-/// Misses at any owners, with no gossip since, at which all count as silent: one alone is asked too seldom...
+/// Quota requests without a reply, with no gossip since, after which all owners count as silent.
 const ALL_SILENT_MISSES: u32 = 12;
-/// ...but for one request in so many milliseconds.
+/// While all owners count as silent, one quota request is sent in so many milliseconds.
 const ALL_SILENT_REQUEST_MS: Millis = 250.0;
 /// A reply is late after this multiple of the usual wait.
 const LATE_REPLY_FACTOR: f64 = 2.5;
@@ -47,9 +47,8 @@
             .retain(|key, quota| context.now - quota.last_used_at < retention_ms(context, *key, count));
     }
 
-    /// Sheds a request by the chance by which the demand at all limiters exceeds the quota, also so that a
-    /// flood of one customer does not drown its owner in quota requests. What is shed is reported with the
-    /// next.
+    /// Sheds requests at random in proportion to the excess of demand over the quota. It also keeps a flood
+    /// of quota requests from the owner. Units shed are reported with the next quota request.
     pub fn shed_probabilistically(&mut self, context: &mut Context, request: &Request) -> bool {
         let draw = context.rng.f64();
         let (now, plan) = (context.now, context.plan(request));
@@ -76,8 +75,8 @@
         (none_answers && asked_now) || misses.is_some_and(|misses| now - misses.last_at < SILENT_OWNER_MS)
     }
 
-    /// Whether a whole request fits into this member's even share while the owner's bucket has room. A share
-    /// that holds no whole request belongs to no member: the owner's bucket decides.
+    /// Whether a request fits into the even share while the owner's bucket has room. A share that is smaller
+    /// than the request is never spent locally: the owner decides.
     fn even_share_covers(&mut self, context: &Context, request: &Request) -> bool {
         let (plan, units) = (context.plan(request), request.cost_units);
         let Some(quota) = self.quotas.get_mut(&QuotaKey::of(request)) else { return false };
@@ -91,8 +90,9 @@
     /// spend the quota, if the demand is far above it. A reply says more: the chance by which the demand
     /// stays within the quota, or for an unknown customer, the fraction of such requests granted before.
     /// Owners alone hold ceilings.
-    fn decide_without_owner(&mut self, context: &mut Context, request: &Request) -> Option<bool> {
-        let quota = self.quotas.get_mut(&QuotaKey::of(request))?;
+    fn decide_without_owner(&mut self, context: &mut Context, request: &Request) -> LocalDecision {
+        let key = QuotaKey::of(request);
+        let Some(quota) = self.quotas.get_mut(&key) else { return LocalDecision::UnknownQuota };
         let (now, units, plan) = (context.now, request.cost_units, &context.settings.plans[request.plan]);
         let capacity = if plan.rate > 0.0 { plan.burst } else { f64::from(plan.max_in_flight) * units };
         let objective_s = context.settings.classes[request.class].latency_objective_ms / 1000.0;
@@ -106,13 +106,13 @@
         if admitted || chance > 0.0 {
             quota.even_share.level = (quota.even_share.level - units).max(0.0);
         }
-        Some(admitted && !plan.has_ceiling())
+        LocalDecision::admit_if(admitted && !plan.has_ceiling())
     }
 }
 
 impl Limiter {
     /// Spends from the share held here while the first owner's bucket has room, and notifies it: to wait for
-    /// its reply would only cost time. The share is the even one, and under a ceiling the part owned here.
+    /// its reply would only cost time. Under a ceiling the part owned here must have room too.
     pub(crate) fn spend_local_share(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(id).map(|pending| pending.request.clone()) else { return };
         let (position, plan) = (self.context.settings.position, self.context.plan(&request));
@@ -127,7 +127,7 @@
         let key = GrantKey::own(&self.context, id);
         let mut decide_here = || self.owned_quotas.decide(&self.context, key, &quota_request);
         if !covered || (has_ceiling && !decide_here().is_some_and(|reply| reply.granted)) {
-            // Refused here: should the first owner be silent, this one is asked again.
+            // Not granted here: if the first owner is silent, this limiter is asked again as the next one.
             self.owned_quotas.forget_grant(key);
             return self.request_grant(id, out);
         }
@@ -185,7 +185,7 @@
         let in_time = now - pending.arrived_at < self.reply_deadline_ms(&pending.request);
         // Not sent yet: it is this limiter that is late.
         let is_unsent = in_time && self.gossip.has_unsent_quota_request(owner, id);
-        // The usual wait has grown since: without another look a lost reply would never be missed.
+        // The usual wait has grown since: without another check a lost reply would never be missed.
         if is_unsent || now - asked_at < late_ms {
             let since = if is_unsent { now } else { asked_at };
             let after_ms = since + late_ms - now + self.context.settings.event_interval_ms;
@@ -201,7 +201,7 @@
         self.request_grant(id, out);
     }
 
-    /// Takes an owner's reply in, whenever it comes in time.
+    /// Handles an owner's reply.
     pub(crate) fn on_grant_reply(&mut self, from: u32, reply: &GrantReply, out: &mut Vec<Action>) {
         let now = self.context.now;
         self.member_quotas.record_reply(now, reply);
@@ -228,9 +228,9 @@
     fn admit_without_owner(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(pending) = self.requests.pending.get_mut(&id) else { return };
         match self.member_quotas.decide_without_owner(&mut self.context, &pending.request) {
-            None => return,
-            Some(false) => return self.reject_or_fail(id, out),
-            Some(true) => {}
+            LocalDecision::Admit => {}
+            LocalDecision::Deny => return self.reject_or_fail(id, out),
+            LocalDecision::UnknownQuota => return,
         }
         pending.admitted_at = self.context.now;
         self.forward_or_queue(id, out);
--- a/limiter-core/src/quota/member_state.rs
+++ b/limiter-core/src/quota/member_state.rs
@@ -66,6 +66,28 @@
     pub last_at: Millis,
 }
 
+/// A member's decision without any owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum LocalDecision {
+    /// The request may be forwarded.
+    Admit,
+    /// It is rejected.
+    Deny,
+    /// Nothing is remembered of the quota: the request waits for its deadline.
+    UnknownQuota,
+}
+
+impl LocalDecision {
+    /// Admits or denies.
+    pub(super) fn admit_if(admitted: bool) -> Self {
+        if admitted {
+            LocalDecision::Admit
+        } else {
+            LocalDecision::Deny
+        }
+    }
+}
+
 /// What this limiter knows of the quotas of which it is a member, and of their owners.
 #[derive(Debug)]
 pub(crate) struct MemberQuotas {
--- a/limiter-core/src/quota/owner.rs
+++ b/limiter-core/src/quota/owner.rs
@@ -15,12 +15,13 @@
 pub(crate) const GRANT_VALIDITY_MS: Millis = 500.0;
 /// Milliseconds that an owner remembers its decisions.
 const GRANT_RETENTION_MS: Millis = 8000.0;
-/// Milliseconds over which demand is smoothed: the time of a whole burst, within these bounds.
+/// Least milliseconds over which demand is smoothed; else the time of a whole burst.
 pub(super) const MIN_DEMAND_SPAN_MS: Millis = 1000.0;
+/// Most milliseconds over which demand is smoothed.
 pub(super) const MAX_DEMAND_SPAN_MS: Millis = 10_000.0;
-/// A customer not seen for so many milliseconds is forgotten, if its buckets are full by then...
+/// A customer not seen for so many milliseconds is forgotten, if its buckets are full by then.
 const IDLE_RETENTION_MS: Millis = 60_000.0;
-/// ...sooner beyond so many customers, some 3 MB: a flood of new ones must not take all memory.
+/// Customers, some 3 MB, beyond which they are forgotten sooner: a flood must not take all memory.
 const MAX_RETAINED_QUOTAS: f64 = 10_000.0;
 /// Units admitted a second that a full quota on attempts in flight counts with at least.
 pub(super) const MIN_ADMITTED_RATE: f64 = 1e-3;
@@ -70,7 +71,7 @@
                 if age_ms > GRANT_VALIDITY_MS {
                     quota.end_outstanding(grant);
                 }
-                // A lost settlement must not count as in flight for ever.
+                // A lost settlement must not count as in flight forever.
                 if age_ms > max_objective_ms {
                     quota.end_in_flight(grant);
                 }
--- a/limiter-core/src/request/mod.rs
+++ b/limiter-core/src/request/mod.rs
@@ -12,12 +12,14 @@
 
 /// Fraction of the latency objective for which an admitted request may wait for slots or a server.
 const MAX_QUEUE_FRACTION: f64 = 0.25;
-/// An attempt is checked for silence after this fraction of the latency objective...
+/// Fraction of the latency objective after which an attempt is checked for silence.
 const SILENCE_CHECK_FRACTION: f64 = 0.4;
-/// ...and timed out after this multiple of the server's usual latency.
+/// A silent attempt is timed out after this multiple of its server's usual latency.
 const SILENCE_LATENCY_FACTOR: f64 = 6.0;
 /// Event intervals by which a response precedes its deadline: its timer and its way may take one each.
 const DEADLINE_MARGIN_INTERVALS: f64 = 2.0;
+/// Milliseconds by which a timer may fire early.
+const TIMER_TOLERANCE_MS: Millis = 1.0;
 /// Retries that each first attempt pays for.
 pub(super) const RETRIES_PER_REQUEST: f64 = 0.2;
 /// Retries that can be saved up.
@@ -28,8 +30,8 @@
     fn may_be_attempted(&self, context: &Context) -> bool {
         let (class, now) = (context.class(&self.request), context.now);
         let has_no_value = now - self.arrived_at > class.latency_objective_ms && class.late_value <= 0.0;
-        let is_spent = self.attempts >= context.settings.max_attempts || now >= self.deadline;
-        if self.in_flight || self.streaming || has_no_value || is_spent {
+        let is_exhausted = self.attempts >= context.settings.max_attempts || now >= self.deadline;
+        if self.is_in_flight || self.is_streaming || has_no_value || is_exhausted {
             return false;
         }
         match class.idempotency {
@@ -39,7 +41,7 @@
         }
     }
 
-    /// Units granted under a ceiling that were not spent in time count no more against the owner's ceiling.
+    /// Whether units granted under a ceiling were not spent in time: the owner counts them no longer.
     pub(crate) fn grant_expired(&self, context: &Context) -> bool {
         let age_ms = context.now - self.arrived_at;
         self.attempts == 0 && context.plan(&self.request).has_ceiling() && age_ms > GRANT_VALIDITY_MS
@@ -60,8 +62,7 @@
             out.push(self.rejection(&request));
             return;
         }
-        let is_limited = self.context.plan(&request).is_limited();
-        let id = request.id;
+        let (id, is_limited) = (request.id, self.context.plan(&request).is_limited());
         self.insert_request(request, out);
         if is_limited {
             self.spend_local_share(id, out);
@@ -86,15 +87,15 @@
         DEADLINE_MARGIN_INTERVALS * self.context.settings.event_interval_ms
     }
 
-    /// What a server still does for the request is of no use, and would hold a connection and slots.
+    /// Forgets the request and cancels its attempt, which would only hold a connection and slots.
     pub(crate) fn on_client_disconnected(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.remove_and_settle(id, out) else { return };
-        if request.in_flight && self.context.settings.can_cancel {
+        if request.is_in_flight && self.context.settings.can_cancel {
             out.push(Action::CancelAttempt { id, attempt: request.last_attempt().number });
         }
     }
 
-    /// A response after the end of the process is none: what would outlast it is given up in time.
+    /// Moves the deadlines of requests that would outlast the process to before its end.
     pub(crate) fn on_shutdown(&mut self, deadline: Millis, out: &mut Vec<Action>) {
         self.shutdown_deadline = deadline;
         let now = self.context.now;
@@ -118,7 +119,7 @@
         let slots = self.admission.slots_for(request.request.cost_units);
         let fits = self.admission.fits(self.context.now, slots);
         let server = if fits { self.endpoints.pick(&mut self.context, request) } else { None };
-        request.queued = server.is_none();
+        request.is_queued = server.is_none();
         let Some(server) = server else { return false };
         self.forward(id, server, slots, out);
         true
@@ -135,7 +136,7 @@
         let class = request.request.class;
         let check_ms = self.context.settings.classes[class].latency_objective_ms * SILENCE_CHECK_FRACTION;
         request.attempts += 1;
-        request.in_flight = true;
+        request.is_in_flight = true;
         request.last_server = Some(server.clone());
         let attempt = AttemptRecord { server: server.clone(), sent_at: now, slots, class, cancelled: false };
         self.requests.attempts.insert(request.last_attempt(), attempt);
@@ -145,7 +146,7 @@
         out.push(Action::SetTimer { after_ms: check_ms, token: TimerToken::SilenceCheck(id) });
     }
 
-    /// Takes the end of an attempt in; one that is not known counts only if it finishes its request.
+    /// Handles the end of an attempt; one that is not known counts only if it finishes its request.
     pub(crate) fn on_attempt_ended(&mut self, end: AttemptEnd, out: &mut Vec<Action>) {
         let id = end.key.request;
         if !self.requests.attempts.contains_key(&end.key) && !end.request_finished {
@@ -167,16 +168,16 @@
         let (now, outcome) = (self.context.now, end.outcome);
         let objective_ms = self.context.settings.classes[attempt.class].latency_objective_ms;
         self.admission.attempt_ended(now, outcome, attempt.slots, objective_ms, end.elapsed_ms);
-        let (zone, cell) = self.endpoints.attempt_ended(now, &attempt, outcome, end.elapsed_ms);
+        let location = self.endpoints.attempt_ended(now, &attempt, outcome, end.elapsed_ms);
         self.requests.update(end.key.request, |request| {
-            request.in_flight = false;
+            request.is_in_flight = false;
             if !outcome.never_executed() && request.possible_execution.is_none() {
-                request.possible_execution = Some(PossibleExecution { sent_at: attempt.sent_at, zone, cell });
+                request.possible_execution = Some(PossibleExecution { sent_at: attempt.sent_at, location });
             }
         });
     }
 
-    /// Goes on after an attempt without a good response: with another one where that is safe and paid for.
+    /// After an attempt without a good response: retries where that is safe and the retry budget allows it.
     fn retry_or_finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let may_retry = self.requests.get(id).is_some_and(|request| request.may_be_attempted(&self.context));
         if !may_retry || !self.retry_budget.allows_retry() {
@@ -189,13 +190,13 @@
     /// Gives the final response: a rejection where a retry is safe, else a failure that promises nothing.
     pub(crate) fn reject_or_fail(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.remove_and_settle(id, out) else { return };
-        if request.in_flight && self.context.settings.can_cancel {
+        if request.is_in_flight && self.context.settings.can_cancel {
             let key = request.last_attempt();
             self.requests.attempts.entry(key).and_modify(|attempt| attempt.cancelled = true);
             out.push(Action::CancelAttempt { id, attempt: key.number });
         }
         let is_idempotent = self.context.class(&request.request).idempotency == Idempotency::Idempotent;
-        if is_idempotent || (request.possible_execution.is_none() && !request.in_flight) {
+        if is_idempotent || (request.possible_execution.is_none() && !request.is_in_flight) {
             out.push(self.rejection(&request.request));
         } else {
             out.push(Action::Fail { id });
@@ -232,11 +233,10 @@
     pub(crate) fn drain_queue(&mut self, out: &mut Vec<Action>) {
         for _ in 0..self.requests.queue.len() {
             let Some(id) = self.requests.queue.pop_front() else { return };
-            let Some(request) = self.requests.pending.get_mut(&id).filter(|r| r.queued) else { continue };
-            request.queued = false;
+            let Some(request) = self.requests.pending.get_mut(&id).filter(|r| r.is_queued) else { continue };
+            request.is_queued = false;
             let max_wait_ms = self.context.class(&request.request).latency_objective_ms * MAX_QUEUE_FRACTION;
-            let waited_ms = self.context.now - request.admitted_at;
-            let overdue = request.attempts == 0 && waited_ms > max_wait_ms;
+            let overdue = request.attempts == 0 && self.context.now - request.admitted_at > max_wait_ms;
             // A retry that was queued may have outlived the time in which servers drop duplicates.
             let allowed = !request.grant_expired(&self.context) && request.may_be_attempted(&self.context);
             if overdue || !allowed {
@@ -249,7 +249,7 @@
     }
 
     pub(crate) fn on_request_timer(&mut self, id: RequestId, token: TimerToken, out: &mut Vec<Action>) {
-        let Some(request) = self.requests.get(id).filter(|request| !request.streaming) else { return };
+        let Some(request) = self.requests.get(id).filter(|request| !request.is_streaming) else { return };
         match token {
             TimerToken::Deadline(_) if self.context.now >= request.deadline => self.reject_or_fail(id, out),
             // A late response would have no value: finishing now frees the server.
@@ -266,20 +266,20 @@
     /// shown no life since it was sent is cancelled and made elsewhere. It may harm where a server is merely
     /// idle and the request heavy; the retry budget bounds that.
     fn check_silence(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(request) = self.requests.pending.get(&id).filter(|r| r.in_flight) else { return };
+        let Some(request) = self.requests.pending.get(&id).filter(|r| r.is_in_flight) else { return };
         let key = request.last_attempt();
         let class = self.context.class(&request.request);
         let Some(attempt) = self.requests.attempts.get_mut(&key) else { return };
         let elapsed_ms = self.context.now - attempt.sent_at;
-        // A timer may fire a little early.
-        if elapsed_ms < class.latency_objective_ms * SILENCE_CHECK_FRACTION - 1.0 || attempt.cancelled {
+        let check_ms = class.latency_objective_ms * SILENCE_CHECK_FRACTION - TIMER_TOLERANCE_MS;
+        if elapsed_ms < check_ms || attempt.cancelled {
             return;
         }
         let now = self.context.now;
         let usual_ms = self.endpoints.latency_if_silent(now, &attempt.server, attempt.sent_at);
         let Some(usual_ms) = usual_ms else { return };
         let after_ms = usual_ms * SILENCE_LATENCY_FACTOR - elapsed_ms;
-        if after_ms > 1.0 {
+        if after_ms > TIMER_TOLERANCE_MS {
             return out.push(Action::SetTimer { after_ms, token: TimerToken::SilenceCheck(id) });
         }
         // What a silent server holds takes no slots from the others.
--- a/limiter-core/src/request/records.rs
+++ b/limiter-core/src/request/records.rs
@@ -21,9 +21,16 @@
 pub(crate) struct PossibleExecution {
     /// When it was sent.
     pub sent_at: Millis,
-    /// Zone of its server.
+    /// Where its server is.
+    pub location: ServerLocation,
+}
+
+/// Where a server is; zone 0 and cell 0 for one that has been removed.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct ServerLocation {
+    /// Its zone.
     pub zone: u32,
-    /// Cell of its server.
+    /// Its cell.
     pub cell: u32,
 }
 
@@ -53,11 +60,11 @@
     /// Set once it may have been executed.
     pub possible_execution: Option<PossibleExecution>,
     /// An attempt is in flight.
-    pub in_flight: bool,
+    pub is_in_flight: bool,
     /// It waits for slots or for a server.
-    pub queued: bool,
+    pub is_queued: bool,
     /// Its response has begun.
-    pub streaming: bool,
+    pub is_streaming: bool,
     /// Server of the last attempt, avoided by the next.
     pub last_server: Option<ServerId>,
 }
@@ -77,15 +84,15 @@
             deadline,
             attempts: 0,
             possible_execution: None,
-            in_flight: false,
-            queued: false,
-            streaming: false,
+            is_in_flight: false,
+            is_queued: false,
+            is_streaming: false,
             last_server: None,
         }
     }
 
-    /// For how long the servers still drop duplicates; infinite where nothing may have been executed or no
-    /// key is needed.
+    /// Time for which servers still drop duplicates; infinite if no attempt can have been executed or the class needs
+    /// no key.
     pub(super) fn dedup_ends_in_ms(&self, context: &Context) -> Millis {
         let class = context.class(&self.request);
         match (class.idempotency, self.possible_execution) {
@@ -97,7 +104,7 @@
         }
     }
 
-    /// The attempt that was begun last.
+    /// The attempt that was begun last. Must not be called before the first.
     pub fn last_attempt(&self) -> AttemptKey {
         AttemptKey { request: self.request.id, number: self.attempts - 1 }
     }
@@ -144,7 +151,7 @@
 pub(crate) struct AttemptRecord {
     /// Where it was sent.
     pub server: ServerId,
-    /// When.
+    /// When it was sent.
     pub sent_at: Millis,
     /// Slots that it occupies.
     pub slots: f64,
@@ -196,7 +203,7 @@
         RetryBudget { retries: MAX_RETRIES }
     }
 
-    /// A first attempt pays for a part of a retry.
+    /// Adds the fraction of a retry that each first attempt pays for.
     pub fn deposit(&mut self) {
         self.retries = (self.retries + RETRIES_PER_REQUEST).min(MAX_RETRIES);
     }
--- a/limiter-core/src/settings.rs
+++ b/limiter-core/src/settings.rs
@@ -113,9 +113,9 @@
     pub cold_capacity_fraction: f64,
     /// Time after its start by which a server has its full capacity.
     pub slow_start_ms: Millis,
-    /// A server that is warming up fails under this multiple of its capacity...
+    /// A server that is warming up fails under this multiple of its capacity that lasts for `overload_ms`.
     pub overload_factor: f64,
-    /// ...that lasts for this long.
+    /// How long an overload has to last for a server that is warming up to fail.
     pub overload_ms: Millis,
 }
 
@@ -166,7 +166,7 @@
 }
 
 impl Settings {
-    /// Checks every value.
+    /// Checks every value that the decisions depend on.
     ///
     /// # Errors
     /// The first value that cannot be served.
@@ -194,22 +194,12 @@
     }
 
     fn validate_amounts(&self) -> Result<(), SettingsError> {
-        let amounts = [
-            ("event_interval_ms", "time", self.event_interval_ms),
-            ("slow_start_ms", "time", self.slow_start_ms),
-            ("overload_ms", "time", self.overload_ms),
-            ("cold_capacity_fraction", "fraction", self.cold_capacity_fraction),
-            ("overload_factor", "factor", self.overload_factor),
-            ("gossip_messages_per_s", "rate", self.gossip_messages_per_s),
-        ];
-        if let Some((name, kind, value)) = amounts.into_iter().find(|(.., value)| !is_amount(*value)) {
-            return Err(SettingsError::NotAnAmount { name, kind, value });
-        }
-        if self.cold_capacity_fraction > 1.0 {
-            let (name, value) = ("cold_capacity_fraction", self.cold_capacity_fraction);
-            return Err(SettingsError::NotAFraction { name, value });
-        }
-        Ok(())
+        check_amount("event_interval_ms", "time", self.event_interval_ms)?;
+        check_amount("slow_start_ms", "time", self.slow_start_ms)?;
+        check_amount("overload_ms", "time", self.overload_ms)?;
+        check_fraction("cold_capacity_fraction", self.cold_capacity_fraction)?;
+        check_amount("overload_factor", "factor", self.overload_factor)?;
+        check_amount("gossip_messages_per_s", "rate", self.gossip_messages_per_s)
     }
 }
 
@@ -230,3 +220,19 @@
 fn is_amount(value: f64) -> bool {
     value.is_finite() && value >= 0.0
 }
+
+fn check_amount(name: &'static str, kind: &'static str, value: f64) -> Result<(), SettingsError> {
+    if is_amount(value) {
+        Ok(())
+    } else {
+        Err(SettingsError::NotAnAmount { name, kind, value })
+    }
+}
+
+fn check_fraction(name: &'static str, value: f64) -> Result<(), SettingsError> {
+    if is_amount(value) && value <= 1.0 {
+        Ok(())
+    } else {
+        Err(SettingsError::NotAFraction { name, value })
+    }
+}
--- a/limiter/src/config/mod.rs
+++ b/limiter/src/config/mod.rs
@@ -1,4 +1,4 @@
-//! The configuration: the JSON file that `ROUTER_CONFIG` names, with single variables that stand above it.
+//! The configuration: the JSON file that `ROUTER_CONFIG` names, with single variables that override it.
 
 mod error;
 mod file;
--- a/limiter/src/config/shutdown.rs
+++ b/limiter/src/config/shutdown.rs
@@ -15,7 +15,8 @@
 /// Times after SIGTERM.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ShutdownTimes {
-    /// Until then requests are accepted, as long as each can still be answered before SIGKILL.
+    /// When connections begin to be shut down. Until then all requests are accepted; new connections are accepted for a
+    /// little longer.
     pub accept_ms: Millis,
     /// By then all of them are answered.
     pub response_ms: Millis,
--- a/limiter/src/discovery/backoff.rs
+++ b/limiter/src/discovery/backoff.rs
@@ -6,8 +6,8 @@
 
 /// The backoff grows by this factor with each failure.
 const GROWTH_FACTOR: u32 = 2;
-/// Fraction of a backoff that is drawn after a failure; the rest is waited for in any case, as what calls again too soon
-/// would only wait behind the others.
+/// Fraction of a backoff that is random after a failure ("equal jitter"); the rest is always waited, since an earlier
+/// call would only queue behind the others.
 const JITTER_FRACTION: f64 = 0.5;
 
 /// The waits between watches. Each takes one random draw, so that limiters with other seeds do not call in step.
--- a/limiter/src/discovery/mod.rs
+++ b/limiter/src/discovery/mod.rs
@@ -17,7 +17,7 @@
 pub use source::WatchTarget;
 use watch::Watch;
 
-/// Watches for ever the source that the configuration names.
+/// Watches forever the source that the configuration names.
 ///
 /// After a change of address the old source's watch goes on beside the new one until that has announced its list: what
 /// the old one announces meanwhile is not lost, and what it announces later is ignored. Each watch is a task of its own
--- a/limiter/src/discovery/tests.rs
+++ b/limiter/src/discovery/tests.rs
@@ -35,8 +35,8 @@
     }
 }
 
-/// The most calls of a fleet that fall into one second, when discovery drops all watches at once and then
-/// answers nobody.
+/// The most calls of a fleet that fall into one second, when discovery drops all watches at once and then answers
+/// nobody.
 fn most_calls_in_a_second(limiters: u32) -> usize {
     let mut calls = Vec::new();
     for limiter in 0..limiters {
@@ -90,8 +90,8 @@
 }
 
 /// A change counts as announced 6 s after discovery had it and could be reached, whatever failed before: refused at
-/// once, rejected after a wait, or never answered. From the beginning of a call to that of the next it takes at most 4 s,
-/// so that 2 s are left for the answer.
+/// once, rejected after a wait, or never answered. From the beginning of a call to that of the next it takes at most 4
+/// s, so that 2 s are left for the answer.
 #[test]
 fn a_change_is_heard_in_time_whatever_failed_before() {
     for limiters in [4, 40, 300, 500] {
--- a/limiter/src/discovery/watch.rs
+++ b/limiter/src/discovery/watch.rs
@@ -66,7 +66,7 @@
     began: Instant,
     /// Discovery had answered the call.
     answered: bool,
-    /// A list was read.
+    /// A list of another version was read.
     progressed: bool,
 }
 
@@ -88,8 +88,8 @@
         Watch { engine, target, source, policy, backoff: Backoff::new(policy, seed), last_error: None }
     }
 
-    /// Watches the source until there is a newer one and the present watch has ended. A watch that ends, breaks or falls
-    /// silent is begun anew from the last version. Its connection is closed before the wait for the next one.
+    /// Watches the source until there is a newer one and the present watch has ended. A watch that ends, breaks or
+    /// falls silent is begun anew from the last version. Its connection is closed before the wait for the next one.
     pub async fn run(mut self) {
         loop {
             let ended = self.watch_once().await;
--- a/limiter/src/engine/mod.rs
+++ b/limiter/src/engine/mod.rs
@@ -102,10 +102,11 @@
     }
 
     /// What an agent on this machine has counts as announced from the first moment: until it is heard, nothing may be
-    /// sent by an older list. where lists are subscribed to, the list counts at once.
+    /// sent by an older list. Where lists are subscribed to, the list counts at once.
     fn take_configured_list(self: &Rc<Self>) {
         let Some(list) = &self.config.known_endpoints else { return };
         let list = EndpointUpdate { complete: true, ..list.resolve(&self.config.names) };
+        self.log_invalid_entries(&list);
         if self.config.settings.must_subscribe {
             self.apply_update(list);
             self.handle_event(Event::WatchFailed);
@@ -147,7 +148,8 @@
     }
 
     /// Whether a request could be served: a server takes requests, discovery has been heard or has had its chance, and
-    /// the core is ready to admit. Without any server the limiter is ready after a while all the same.
+    /// the core is ready to admit. A limiter that was never announced a serving server is ready after a while all the
+    /// same.
     pub fn is_ready(&self) -> bool {
         let age_ms = self.clock.age_ms();
         let heard = self.discovery_heard.get() || age_ms > self.discovery_patience_ms();
@@ -176,6 +178,7 @@
     /// Takes an announcement of discovery in.
     pub fn update_endpoints(self: &Rc<Self>, update: EndpointUpdate) {
         self.discovery_heard.set(true);
+        self.log_invalid_entries(&update);
         let update = match self.configured_list.take() {
             Some(earlier) => update.applied_to(earlier),
             None => update,
@@ -183,10 +186,13 @@
         self.apply_update(update);
     }
 
-    fn apply_update(self: &Rc<Self>, update: EndpointUpdate) {
+    fn log_invalid_entries(&self, update: &EndpointUpdate) {
         for _ in 0..update.invalid_entries {
             self.log("discovery: ignored an entry of the endpoint list that cannot be read");
         }
+    }
+
+    fn apply_update(self: &Rc<Self>, update: EndpointUpdate) {
         let mut state = self.state.borrow_mut();
         state.endpoints.apply(&update, self.upstream.as_ref(), &self.log);
         let endpoints = update.endpoints.into_iter().map(|resolved| resolved.endpoint).collect();
@@ -257,6 +263,10 @@
             }
             state.actions = actions;
         }
+        self.drop_stale_timers(state);
+    }
+
+    fn drop_stale_timers(&self, state: &mut State) {
         let State { limiter, timers, pending, .. } = state;
         let is_live = |kind| match kind {
             TimerKind::Decision(token) => limiter.is_live(token),
@@ -333,7 +343,7 @@
         }
     }
 
-    /// Fires timers when they are due, for ever.
+    /// Fires timers when they are due, forever.
     pub async fn run_timers(self: Rc<Self>) {
         loop {
             let next = self.fire_due_timers();
@@ -372,5 +382,6 @@
                 }
             }
         }
+        self.drop_stale_timers(state);
     }
 }
--- a/limiter/src/engine/ports.rs
+++ b/limiter/src/engine/ports.rs
@@ -20,6 +20,6 @@
 
 /// Carries gossip to other limiters.
 pub trait GossipTransport {
-    /// Sends a message to the limiter of a position; it may be lost.
+    /// Sends a message to the limiter at position `to`; it may be lost.
     fn send(&self, to: u32, body: &[u8]);
 }
--- a/limiter/src/engine/timer_queue.rs
+++ b/limiter/src/engine/timer_queue.rs
@@ -28,16 +28,25 @@
     None,
 }
 
-/// Timers by moment, in whole microseconds, and what the waiting task is armed for.
+/// Microseconds of a millisecond.
+const MICROS_PER_MILLI: f64 = 1000.0;
+/// Armed for no moment.
+const NOT_ARMED: u64 = u64::MAX;
+
+/// A timer in the queue; ordered by moment, then by kind.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct QueuedTimer {
+    at_us: u64,
+    kind: TimerKind,
+}
+
+/// Timers by moment, in whole microseconds, and when the waiting task wakes up.
 pub struct TimerQueue {
-    timers: BinaryHeap<Reverse<(u64, TimerKind)>>,
+    timers: BinaryHeap<Reverse<QueuedTimer>>,
     /// The moment for which the waiting task will wake up by itself.
     armed_us: u64,
 }
 
-/// Armed for no moment.
-const NOT_ARMED: u64 = u64::MAX;
-
 impl TimerQueue {
     /// An empty queue.
     pub fn new() -> TimerQueue {
@@ -46,20 +55,20 @@
 
     /// Adds a timer; true if it fires before the moment that the waiting task is armed for.
     pub fn insert(&mut self, at: Millis, kind: TimerKind) -> bool {
-        let at_us = (at * 1000.0).ceil() as u64;
-        self.timers.push(Reverse((at_us, kind)));
+        let at_us = (at * MICROS_PER_MILLI).ceil() as u64;
+        self.timers.push(Reverse(QueuedTimer { at_us, kind }));
         at_us < self.armed_us
     }
 
-    /// Takes the next timer off if it is due; otherwise counts the caller as armed for it.
+    /// Takes the next timer off if it is due; otherwise records that the caller sleeps until then.
     pub fn next(&mut self, now: Millis) -> NextTimer {
-        let Some(Reverse((at_us, kind))) = self.timers.peek().copied() else {
+        let Some(Reverse(QueuedTimer { at_us, kind })) = self.timers.peek().copied() else {
             self.armed_us = NOT_ARMED;
             return NextTimer::None;
         };
-        if now * 1000.0 < at_us as f64 {
+        if now * MICROS_PER_MILLI < at_us as f64 {
             self.armed_us = at_us;
-            return NextTimer::At(at_us as f64 / 1000.0);
+            return NextTimer::At(at_us as f64 / MICROS_PER_MILLI);
         }
         self.timers.pop();
         NextTimer::Due(kind)
@@ -69,7 +78,7 @@
     /// before their timeouts, and each of these would wake up an idle process.
     pub fn drop_stale(&mut self, is_live: impl Fn(TimerKind) -> bool) -> bool {
         let before = self.timers.len();
-        while self.timers.peek().is_some_and(|Reverse((_, kind))| !is_live(*kind)) {
+        while self.timers.peek().is_some_and(|Reverse(timer)| !is_live(timer.kind)) {
             self.timers.pop();
         }
         self.timers.len() < before
--- a/limiter/src/frontend/acceptor.rs
+++ b/limiter/src/frontend/acceptor.rs
@@ -37,7 +37,7 @@
         self.connections.len() < self.engine.config().max_client_connections
     }
 
-    /// The next connection; pending for ever once the listener is closed. Awaited by the accept loop; cancelling
+    /// The next connection; pending forever once the listener is closed. Awaited by the accept loop; cancelling
     /// loses no connection.
     pub(super) async fn accept(&self) -> io::Result<TcpStream> {
         match &self.listener {
@@ -77,7 +77,7 @@
 
 /// A connection of the accept queue, if there is one. tokio tries no accept while it does not know of one, or once it
 /// has let this task work for long enough (128 accepts in a row): then the queue is looked at once more, after a turn
-/// of the I/O engine.
+/// of the I/O driver.
 async fn next_in_accept_queue(listener: &TcpListener) -> Option<TcpStream> {
     let mut rechecks = 0;
     loop {
--- a/limiter/src/frontend/connection_state.rs
+++ b/limiter/src/frontend/connection_state.rs
@@ -10,12 +10,13 @@
 /// A request has to arrive completely within this time from its first byte on, however slowly it trickles; the first
 /// one of a connection within this time from the accept on.
 pub(super) const INCOMPLETE_REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
-/// A response that its client does not read is kept for this long.
+/// A connection may be closed although its response is not written completely, once this time has passed since the
+/// response was ready.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
-/// A connection may be evicted for want of room after resting for this long since its last response was written...
+/// Least idle time after its last response before a connection may be evicted to make room.
 const MIN_IDLE_BEFORE_EVICTION: Duration = Duration::from_millis(50);
-/// ...and one whose request has not arrived, after this time. While all connections rest, others wait to be accepted,
-/// and the time that this takes their clients is seen by nobody.
+/// Least time before a connection whose request has not arrived completely may be evicted. Clients that wait in the
+/// accept queue meanwhile are not seen.
 const MIN_SILENCE_BEFORE_EVICTION: Duration = Duration::from_millis(100);
 
 /// How to look for a disconnect of the client.
@@ -194,7 +195,7 @@
     }
 
     /// Awaited by the connection's task. Completes one yield after the request: a client's request that came before
-    /// it is to be read first, and after a stall that may need a turn of the I/O engine. Cancelling during that yield
+    /// it is to be read first, and after a stall that may need a run of the I/O driver. Cancelling during that yield
     /// loses the abort; the sweep or the eviction that asked for it asks again.
     pub(super) async fn abort_requested(&self) {
         self.abort.notified().await;
--- a/limiter/src/frontend/connections.rs
+++ b/limiter/src/frontend/connections.rs
@@ -14,8 +14,7 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// The same during the graceful shutdown.
 const SHUTDOWN_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
-/// How often connections are checked for being overdue. A few passes a second cost less than a timer for each
-/// request.
+/// How often connections are checked for being overdue. A few passes a second cost less than a timer for each request.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The open client connections.
@@ -59,8 +58,8 @@
         self.is_shutting_down.get()
     }
 
-    /// Closes connections that have sent no request, or a part of one, for too long. Runs as a task of its own and
-    /// never completes; it holds no borrow while it sleeps.
+    /// Closes connections that have been idle for too long, or whose request has not arrived completely in time. Runs
+    /// as a task of its own and never completes; it holds no borrow while it sleeps.
     pub(super) async fn sweep(self: Rc<Self>) {
         loop {
             tokio::time::sleep(SWEEP_INTERVAL).await;
@@ -73,13 +72,13 @@
         }
     }
 
-    /// Whether any response is owed or on its way. See [`ConnectionState::must_be_awaited`].
+    /// Whether the shutdown has to wait for any connection. See [`ConnectionState::must_be_awaited`].
     pub(super) fn must_be_awaited(&self) -> bool {
         self.by_id.borrow().values().any(|state| state.must_be_awaited())
     }
 
-    /// Closes the connection that can be spared most, if one can. Guards against crowds that hold connections, or
-    /// send half a request, in place of the clients that send requests.
+    /// Closes the connection of the lowest [`ConnectionState::eviction_rank`], if any may be evicted: clients that hold
+    /// idle connections or send partial requests must not keep others out.
     pub(super) fn evict_one(&self) {
         let by_id = self.by_id.borrow();
         let evictable = by_id.values().filter(|state| state.can_evict());
@@ -99,8 +98,7 @@
     ///
     /// So no request is taken whose response could not be written.
     ///
-    /// A connection that was accepted just now has a request on its way: it is left alone, and ends with its
-    /// response.
+    /// A connection that was accepted just now has a request on its way: it is left alone, and ends with its response.
     pub(super) fn shut_down(&self) {
         self.is_shutting_down.set(true);
         for state in self.by_id.borrow().values() {
--- a/limiter/src/frontend/request_head.rs
+++ b/limiter/src/frontend/request_head.rs
@@ -197,9 +197,9 @@
 struct Weight {
     /// Cost in quota units.
     cost_units: f64,
-    /// How many limiters are members of the customer's quota...
+    /// Number of limiters that are members of the customer's quota.
     member_count: u32,
-    /// ...counted in a ring from this position.
+    /// Position of the first member; the others follow it in a ring.
     first_member: u32,
 }
 
--- a/limiter/src/frontend/shutdown.rs
+++ b/limiter/src/frontend/shutdown.rs
@@ -15,10 +15,10 @@
 /// Nothing is waited for any longer than this after the signal.
 const MAX_SHUTDOWN_TIME: Duration = Duration::from_secs(20);
 
-/// Turns of the I/O engine in which everything that has arrived is read, for few connections...
+/// Least number of yields to the I/O driver in which everything that has arrived is read.
 const MIN_READ_TURNS: usize = 4;
-/// ...and one more turn for each of so many. A yield of a task runs the I/O engine once and no more than 61 of the
-/// tasks that were woken (tokio's event interval).
+/// One further yield for each of so many connections. A yield runs the I/O driver once and at most 61 woken tasks
+/// (tokio's event interval).
 const CONNECTIONS_PER_READ_TURN: usize = 16;
 
 /// Which step is due next. Each step counts its time from the moment at which the one before it was really taken, not
--- a/limiter/src/gossip.rs
+++ b/limiter/src/gossip.rs
@@ -9,7 +9,7 @@
 
 use crate::engine::{Engine, GossipTransport};
 
-/// Longest datagram that may be sent, and is taken in.
+/// Longest datagram that is sent or accepted; at least the longest message of the core.
 const MAX_DATAGRAM_BYTES: usize = 256;
 /// Pause after an error of the socket, so that one that persists does not take all of the processor's time.
 const ERROR_PAUSE: Duration = Duration::from_millis(1);
@@ -38,7 +38,8 @@
     }
 }
 
-/// Hands the datagrams of peers to the core, for ever. Datagrams of strangers and oversized ones are ignored.
+/// Passes datagrams of peers to the core. Never returns; ignores unknown senders and oversized datagrams. Cancelling
+/// loses none that was passed on.
 pub async fn receive(engine: Rc<Engine>, socket: Rc<UdpSocket>) {
     let mut buffer = [0u8; MAX_DATAGRAM_BYTES + 1];
     loop {
--- a/limiter/src/log.rs
+++ b/limiter/src/log.rs
@@ -15,7 +15,7 @@
 
     /// Writes one line.
     pub fn line(&self, text: &str) {
-        // A log that nobody reads any more must not end the limiter, as `eprintln!` would.
+        // `eprintln!` panics where stderr is closed, and a lost log line must not end the limiter.
         let _ = writeln!(std::io::stderr(), "{}: {text}", self.name);
     }
 }
--- a/limiter/src/upstream/mod.rs
+++ b/limiter/src/upstream/mod.rs
@@ -99,7 +99,7 @@
     engine.attempt_ended(job.id, result);
 }
 
-/// Closes idle connections in time, for ever.
+/// Closes idle connections in time, forever.
 pub async fn close_expired_connections(servers: Rc<Servers>) {
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
--- a/limiter/tests/shutdown.rs
+++ b/limiter/tests/shutdown.rs
@@ -123,7 +123,7 @@
     let writing = std::thread::spawn(move || drop(writer.write_all(requests.as_bytes())));
     assert!(wait_no_more_received(&server) < NUM_REQUESTS, "all were answered");
     node.signal("TERM");
-    wait_for("the end to refuse connections", || TcpStream::connect(node.addr).is_err());
+    wait_for("the listener to close", || TcpStream::connect(node.addr).is_err());
     // Longer than any sweep of idle connections.
     pause_ms(1500);
     client.set_read_timeout(Some(PATIENCE)).expect("time-out");
--- a/limiter/tests/stubs/disconnecting_client.rs
+++ b/limiter/tests/stubs/disconnecting_client.rs
@@ -1,4 +1,4 @@
-//! Clients that leave: what they request, when they go, and what came to the servers.
+//! Clients that disconnect: what they request, when they go, and what came to the servers.
 
 use std::io::Write;
 use std::net::TcpStream;
--- a/limiter/tests/stubs/quota_owner.rs
+++ b/limiter/tests/stubs/quota_owner.rs
@@ -8,7 +8,7 @@
 /// A customer whose quota owners are the limiters 1, 2 and 3 of a fleet of four, asked in this order.
 pub const CUSTOMER_OF_OWNER: &str = "00000000b4d65522";
 
-/// Layout of a gossip message, as the core's module of messages says: a header, then lines, each begun by its kind.
+/// Layout of a gossip message, as in `limiter-core/src/gossip/codec.rs`: a header, then lines, each begun by its kind.
 const HEADER_BYTES: usize = 8;
 const MAX_MESSAGE_BYTES: usize = 256;
 const KIND_QUOTA_REQUEST: u8 = 1;
@@ -91,7 +91,8 @@
     body
 }
 
-/// Sum over all bytes but the checksum's own, each times its place.
+/// Sum over all bytes but the checksum's own, each times twice its one-based position plus one, modulo the largest
+/// prime below 2^16.
 fn checksum(body: &[u8]) -> u16 {
     let counted = (1u32..).zip(body).filter(|(place, _)| ![2, 3].contains(place));
     let sum: u32 = counted.map(|(place, byte)| u32::from(*byte) * (2 * place + 1)).sum();
--- a/simulator-adapter/src/wire/event.rs
+++ b/simulator-adapter/src/wire/event.rs
@@ -1,6 +1,7 @@
 //! Messages from the simulator to the instances. Times are milliseconds, costs quota units.
 //!
-//! Fields that nothing reads are parsed nevertheless: a value of the wrong kind is an error wherever it stands.
+//! Some fields that nothing uses are declared all the same, so that a value of the wrong type is an error. Fields that
+//! are not declared are ignored.
 
 use limiter_core::{Millis, RequestId};
 use serde::Deserialize;
