--- a/limiter-core/tests/common/reference_bucket.rs
+++ b/limiter-core/tests/common/reference_bucket.rs
@@ -1,4 +1,4 @@
-//! The bucket of a quota or ceiling as it truly is, over all limiters.
+//! The bucket of a quota or ceiling as seen from outside, summed over all limiters.
 
 use limiter_core::*;
 
--- a/limiter/tests/shutdown.rs
+++ b/limiter/tests/shutdown.rs
@@ -1,5 +1,5 @@
-//! The orderly shutdown by SIGTERM: what has been taken is answered, clients go on while there is time, and the
-//! process ends by its last moment, whoever hangs.
+//! Graceful shutdown on SIGTERM: accepted requests are answered, connections stay usable while there is time, and the
+//! process exits by its deadline even if servers hang.
 
 mod stubs;
 
@@ -42,7 +42,7 @@
     assert_eq!(exchange(&mut kept, &idempotent_request()).status, 200);
     node.signal("TERM");
     node.wait_log("shutting down");
-    // Of 2.4 s; the next one comes after half of that.
+    // Requests are accepted for 2.4 s (3 s + 0.7 s - 0.3 s - 1 s): this is half of that.
     pause_ms(1200);
     assert_eq!(exchange(&mut kept, &idempotent_request()).status, 200);
     assert!(!node.is_ready());
@@ -96,6 +96,9 @@
     assert_eq!(node.exit_code(), Some(0));
 }
 
+/// Checks in a row without a further request after which none is expected to come.
+const STABLE_CHECKS: u32 = 30;
+
 /// Waits until the server has received some requests and gets no more.
 fn wait_no_more_received(server: &StubServer) -> usize {
     let (mut num_before, mut num_same) = (0, 0);
@@ -103,7 +106,7 @@
         let num_received = server.num_received();
         num_same = if num_received == num_before && num_received > 0 { num_same + 1 } else { 0 };
         num_before = num_received;
-        num_same > 30
+        num_same > STABLE_CHECKS
     });
     num_before
 }
--- a/limiter/tests/stubs/quota_owner.rs
+++ b/limiter/tests/stubs/quota_owner.rs
@@ -1,6 +1,7 @@
 //! A stub of a quota owner: a peer that the program asks for the units of a customer.
 
 use std::net::{SocketAddr, UdpSocket};
+use std::ops::Range;
 use std::time::Duration;
 
 use super::{patient_request, NodeProcess, StubServer, DEFAULT_CUSTOMER};
@@ -76,16 +77,26 @@
     }
 }
 
+/// Where the sender's incarnation stands in a message.
+const INCARNATION: Range<usize> = 3..7;
+/// Where the request's id stands in a message that is one quota request.
+const REQUEST_ID: Range<usize> = 9..13;
+/// Where the customer and the plan stand in it.
+const CUSTOMER_AND_PLAN: Range<usize> = 13..22;
+/// Modulus of the checksum: the largest prime below 2^16.
+const CHECKSUM_MODULUS: u32 = 65_521;
+
 fn grant(quota_request: &[u8]) -> Vec<u8> {
-    let (member_start, id) = (&quota_request[3..7], &quota_request[9..13]);
-    let customer_and_plan = &quota_request[13..22];
+    let (member_incarnation, id) = (&quota_request[INCARNATION], &quota_request[REQUEST_ID]);
+    let customer_and_plan = &quota_request[CUSTOMER_AND_PLAN];
     let [no_units, one_unit] = [0f32.to_be_bytes(), 1f32.to_be_bytes()];
-    let grant = [&[KIND_GRANTED][..], id, customer_and_plan, member_start, &no_units, &one_unit].concat();
+    let grant =
+        [&[KIND_GRANTED][..], id, customer_and_plan, member_incarnation, &no_units, &one_unit].concat();
     let (own_id, customer, plan, members) = ([0, 0, 0, 9], [0; 8], [1], [0, 0, 0, 1]);
     let own_request =
         [&[KIND_QUOTA_REQUEST][..], &own_id, &customer, &plan, &members, &one_unit, &no_units].concat();
-    let (mark_and_checksum, own_start, no_latency_share) = ([0xfd, 0, 0], [0; 4], [255]);
-    let mut body = [&mark_and_checksum[..], &own_start, &no_latency_share, &grant, &own_request].concat();
+    let (magic_and_checksum, own_incarnation, no_latency) = ([0xfd, 0, 0], [0; 4], [255]);
+    let mut body = [&magic_and_checksum[..], &own_incarnation, &no_latency, &grant, &own_request].concat();
     let checksum = checksum(&body).to_be_bytes();
     body[1..3].copy_from_slice(&checksum);
     body
@@ -94,7 +105,7 @@
 /// Sum over all bytes but the checksum's own, each times twice its one-based position plus one, modulo the largest
 /// prime below 2^16.
 fn checksum(body: &[u8]) -> u16 {
-    let counted = (1u32..).zip(body).filter(|(place, _)| ![2, 3].contains(place));
-    let sum: u32 = counted.map(|(place, byte)| u32::from(*byte) * (2 * place + 1)).sum();
-    (sum % 65_521) as u16
+    let counted = (1u32..).zip(body).filter(|(position, _)| ![2, 3].contains(position));
+    let sum: u32 = counted.map(|(position, byte)| u32::from(*byte) * (2 * position + 1)).sum();
+    (sum % CHECKSUM_MODULUS) as u16
 }
--- a/simulator-adapter/src/host.rs
+++ b/simulator-adapter/src/host.rs
@@ -20,7 +20,7 @@
     limiter: Limiter,
 }
 
-/// The instances that run, and what has been told to all of them.
+/// The instances that run, and what has been announced to all of them.
 #[derive(Default)]
 pub(crate) struct Host {
     instances: BTreeMap<String, Instance>,
@@ -80,12 +80,17 @@
                 let body = hex::decode(&body)?;
                 self.deliver(now, &limiter_id, Event::GossipReceived { from, body }, replies)
             }
-            // Limiters neither probe servers nor use the shared counter: there is nothing to hear of either.
             InboundMessage::ProbeEnded { limiter_id, .. }
-            | InboundMessage::CounterRead { limiter_id, .. } => self.instance(&limiter_id).map(|_| ()),
+            | InboundMessage::CounterRead { limiter_id, .. } => self.ignore(&limiter_id),
         }
     }
 
+    /// Limiters neither probe servers nor use the shared counter: what comes of either means nothing to them, but the
+    /// instance has to exist all the same.
+    fn ignore(&self, limiter_id: &str) -> Result<(), MessageError> {
+        self.instance(limiter_id).map(|_| ())
+    }
+
     fn start_instance(
         &mut self,
         now: Millis,
@@ -119,7 +124,7 @@
     ) -> Result<(), MessageError> {
         match TimerToken::decode(token) {
             Some(token) => self.deliver(now, limiter_id, Event::TimerFired { token }, replies),
-            None => self.instance(limiter_id).map(|_| ()),
+            None => self.ignore(limiter_id),
         }
     }
 
--- a/simulator-adapter/tests/wire.rs
+++ b/simulator-adapter/tests/wire.rs
@@ -131,12 +131,12 @@
     malformed(batch(2, event), named)
 }
 
-/// A request in which one text is another.
+/// A request with one text replaced by another.
 fn malformed_request(from: &str, to: &str, named: &'static str) -> MalformedLine {
     malformed_event(&request(0, 5).replace(from, to), named)
 }
 
-/// A second start in which one text is another.
+/// A second start with one text replaced by another.
 fn malformed_start(from: &str, to: &str, named: &'static str) -> MalformedLine {
     malformed(batch(2, &start_events()).replace(from, to), named)
 }
