Write each constant's comment out where it went on at the next one

Cause: four pairs of comments in tests and the adapter ran over two items, so that the second said nothing alone. Change: comments alone.

--- a/limiter-core/tests/common/test_fleet.rs
+++ b/limiter-core/tests/common/test_fleet.rs
@@ -12,9 +12,9 @@
 const CLIENT_BACKOFF_MS: Millis = 100.0;
 const CLIENT_BACKOFF_JITTER_MS: Millis = 200.0;
 
-/// Time until a server responds...
+/// Time until a server responds.
 const SERVICE_TIME_MS: Millis = 100.0;
-/// ...and until it rejects what is beyond its capacity.
+/// Time until a server rejects what is beyond its capacity.
 const REJECTION_TIME_MS: Millis = 5.0;
 /// Time over which a server counts what it has accepted.
 const CAPACITY_WINDOW_MS: Millis = 1000.0;
--- a/limiter-core/tests/slow_start.rs
+++ b/limiter-core/tests/slow_start.rs
@@ -11,10 +11,11 @@
 const SERVERS: u32 = 24;
 /// Servers that start during a test have numbers from here on.
 const FIRST_NEW_SERVER: u32 = 100;
-/// Requests a second that a warm server can do...
+/// Requests a second that a warm server can do.
 const CAPACITY_PER_S: f64 = 5.0;
-/// ...and what arrives of that before the release, and in the burst after it.
+/// Fraction of the capacity that arrives before the release.
 const LOAD_BEFORE: f64 = 0.6;
+/// Multiple of the capacity that arrives in the burst after it.
 const LOAD_IN_BURST: f64 = 1.5;
 
 fn settings_with_low_capacity(limiters: u32, position: u32) -> Settings {
--- a/simulator-adapter/src/wire/event.rs
+++ b/simulator-adapter/src/wire/event.rs
@@ -131,10 +131,10 @@
     /// Its cost, declared or estimated.
     #[serde(rename = "PriceUnits")]
     pub cost_units: f64,
-    /// How many instances receive this customer's requests...
+    /// Number of limiters that receive this customer's requests: the members of its quota.
     #[serde(rename = "EntryPoints")]
     pub member_count: u32,
-    /// ...counted in a ring from this position.
+    /// Position of the first member; the others follow it in a ring.
     #[serde(rename = "SetFrom")]
     pub first_member: u32,
 }
--- a/simulator-adapter/src/wire/settings.rs
+++ b/simulator-adapter/src/wire/settings.rs
@@ -160,10 +160,10 @@
     /// Time after its start by which a server has its full capacity.
     #[serde(rename = "ColdMs")]
     pub slow_start_ms: Millis,
-    /// A server that is warming up fails under this multiple of its capacity...
+    /// A server that is warming up fails under this multiple of its capacity, if it lasts.
     #[serde(rename = "FallMultiple")]
     pub overload_factor: f64,
-    /// ...that lasts for this long.
+    /// How long an overload has to last for a server that is warming up to fail.
     #[serde(rename = "TipAfterMs")]
     pub overload_ms: Millis,
 }
