Read bodies of requests and responses by one function, and prune timers once a timer

Cause: the front end and the upstream each had the same loop that reads a body within the same bounds; and since stale timers are dropped after each timer that fires, one that hands an event to the core had them looked for twice. Change: body.rs reads both and says whether a body is too long or broke off; each caller makes its own of that. The front end's early return for an absent body goes: such a body yields no frame.

--- a/limiter/src/engine/mod.rs
+++ b/limiter/src/engine/mod.rs
@@ -252,9 +252,14 @@
         self.dispatch_event(&mut state, event);
     }
 
-    /// Takes in an event and those that its actions lead to.
+    /// Handles an event and those that its actions lead to.
     fn dispatch_event(self: &Rc<Self>, state: &mut State, event: Event) {
         state.events.push_back(event);
+        self.handle_events(state);
+    }
+
+    /// Handles the events that wait, then drops the timers that serve no purpose any more.
+    fn handle_events(self: &Rc<Self>, state: &mut State) {
         while let Some(event) = state.events.pop_front() {
             let mut actions = std::mem::take(&mut state.actions);
             state.limiter.handle(self.now(), event, &mut actions);
@@ -263,10 +268,6 @@
             }
             state.actions = actions;
         }
-        self.drop_stale_timers(state);
-    }
-
-    fn drop_stale_timers(&self, state: &mut State) {
         let State { limiter, timers, pending, .. } = state;
         let is_live = |kind| match kind {
             TimerKind::Decision(token) => limiter.is_live(token),
@@ -372,16 +373,16 @@
 
     fn fire(self: &Rc<Self>, state: &mut State, kind: TimerKind) {
         match kind {
-            TimerKind::Decision(token) => self.dispatch_event(state, Event::TimerFired { token }),
+            TimerKind::Decision(token) => state.events.push_back(Event::TimerFired { token }),
             TimerKind::AttemptTimeout(id) => state.pending.cancel_attempt(id, Outcome::TimedOut),
             // A backstop: the core ends their requests before this. Nothing is sent after it.
             TimerKind::Deadline(id) => {
                 if state.pending.respond(id, FinalResponse::Failed) {
                     self.log(&format!("request {id}: failed at its deadline"));
-                    self.dispatch_event(state, Event::ClientDisconnected { id });
+                    state.events.push_back(Event::ClientDisconnected { id });
                 }
             }
         }
-        self.drop_stale_timers(state);
+        self.handle_events(state);
     }
 }
--- a/limiter/src/frontend/request_body.rs
+++ b/limiter/src/frontend/request_body.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::StatusCode;
 use tokio::time::timeout;
 
-use crate::request::MAX_BODY_BYTES;
+use crate::body::{self, BodyError};
 
 /// Of a body that is too large, at most this much more is read, so that its sender sees the response.
 const MAX_DISCARDED_BYTES: usize = 1 << 20;
@@ -18,7 +18,7 @@
 /// Why a request was rejected by its body. The message is the body of the response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub(super) enum RequestBodyError {
-    /// It is longer than [`MAX_BODY_BYTES`].
+    /// It is longer than [`body::MAX_BODY_BYTES`].
     #[error("the body is too large")]
     TooLarge,
     /// The client closed the connection before its end.
@@ -49,22 +49,11 @@
 /// # Errors
 /// [`RequestBodyError::TooLarge`], once the sender has had its chance to finish, or [`RequestBodyError::Incomplete`].
 pub(super) async fn read_body(mut body: Incoming) -> Result<Bytes, RequestBodyError> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
+    match body::read_body(&mut body).await {
+        Ok(received) => Ok(received),
+        Err(BodyError::TooLong) => Err(discard(body).await),
+        Err(BodyError::BrokenOff(_)) => Err(RequestBodyError::Incomplete),
     }
-    if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
-        return Err(discard(body).await);
-    }
-    let mut received = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| RequestBodyError::Incomplete)?;
-        let Some(data) = frame.data_ref() else { continue };
-        if received.len() + data.len() > MAX_BODY_BYTES {
-            return Err(discard(body).await);
-        }
-        received.extend_from_slice(data);
-    }
-    Ok(received.freeze())
 }
 
 /// Reads on, within bounds, before a body is rejected as too large. Guards against a response lost in a reset, which
--- a/limiter/src/main.rs
+++ b/limiter/src/main.rs
@@ -3,6 +3,7 @@
 #![warn(missing_docs)]
 
 mod attempt_job;
+mod body;
 mod config;
 mod discovery;
 mod endpoints;
--- a/limiter/src/request.rs
+++ b/limiter/src/request.rs
@@ -1,4 +1,4 @@
-//! What the client side and the server side of the program share of a request: contents, header names, bounds.
+//! What the client side and the server side of the program share of a request: contents and header names.
 
 use bytes::Bytes;
 use hyper::header::{HeaderName, HeaderValue};
@@ -10,8 +10,6 @@
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 /// Seconds for which the sender will wait.
 pub const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left");
-/// Longest body taken in, of a request or a response.
-pub const MAX_BODY_BYTES: usize = 64 << 10;
 
 /// What of a client's request is forwarded to a server unchanged.
 pub struct ForwardedRequest {
--- a/limiter/src/upstream/attempt.rs
+++ b/limiter/src/upstream/attempt.rs
@@ -2,9 +2,8 @@
 
 use std::net::SocketAddr;
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use bytes::Bytes;
+use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderName, HOST};
 use hyper::{Request, StatusCode};
 use limiter_core::{Millis, Outcome};
@@ -12,8 +11,9 @@
 use super::connection::{ConnectError, RequestSender};
 use super::Servers;
 use crate::attempt_job::{AttemptJob, AttemptResult};
+use crate::body::{read_body, BodyError};
 use crate::engine::Engine;
-use crate::request::{CORRELATION_ID, IDEMPOTENCY_KEY, MAX_BODY_BYTES, TIME_LEFT};
+use crate::request::{CORRELATION_ID, IDEMPOTENCY_KEY, TIME_LEFT};
 
 /// Says with a failure that the server did not process the request.
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
@@ -45,9 +45,9 @@
     /// The connection ended, or what came is no response, after some of the request may have been written.
     #[error("the connection was lost: {0}")]
     ConnectionLost(hyper::Error),
-    /// The response is longer than is taken in.
-    #[error("the body of the response is longer than {MAX_BODY_BYTES} bytes")]
-    BodyTooLong,
+    /// The body of the response is too long or breaks off.
+    #[error("no complete response: {0}")]
+    Body(#[from] BodyError),
 }
 
 impl AttemptError {
@@ -61,7 +61,7 @@
                 Outcome::NotSent
             }
             AttemptError::Connect(_) | AttemptError::NotWritten(_) => Outcome::ConnectFailed,
-            AttemptError::ConnectionLost(_) | AttemptError::BodyTooLong => Outcome::ConnectionLost,
+            AttemptError::ConnectionLost(_) | AttemptError::Body(_) => Outcome::ConnectionLost,
         }
     }
 }
@@ -144,28 +144,11 @@
             })
         }
     };
-    let (head, body) = response.into_parts();
-    let body = read_body(body).await?;
+    let (head, mut body) = response.into_parts();
+    let body = read_body(&mut body).await?;
     Ok(ServerResponse { status: head.status, headers: head.headers, body })
 }
 
-/// Reads a body of at most [`MAX_BODY_BYTES`]. One that announces more is not waited for.
-async fn read_body(mut body: Incoming) -> Result<Bytes, AttemptError> {
-    if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
-        return Err(AttemptError::BodyTooLong);
-    }
-    let mut received = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(AttemptError::ConnectionLost)?;
-        let Some(data) = frame.data_ref() else { continue };
-        if received.len() + data.len() > MAX_BODY_BYTES {
-            return Err(AttemptError::BodyTooLong);
-        }
-        received.extend_from_slice(data);
-    }
-    Ok(received.freeze())
-}
-
 /// What a response means for the core.
 fn classify_response(response: ServerResponse, max_request_units: f64) -> AttemptResult {
     let unprocessed = response.headers.get(UNPROCESSED).is_some_and(|value| value == UNPROCESSED_TRUE);
--- a/limiter/src/upstream/connection.rs
+++ b/limiter/src/upstream/connection.rs
@@ -15,7 +15,7 @@
 use tokio::time::timeout;
 
 use super::pool::ConnectionPermit;
-use crate::request::MAX_BODY_BYTES;
+use crate::body::MAX_BODY_BYTES;
 
 const ENOMEM: i32 = 12;
 const ENFILE: i32 = 23;
