review/1: count the lost requests that servers have run

Looked at: the record of case 1, in which servers ran requests whose clients got no answer in time.

Changed: the case says how many of the lost requests servers ran, and records the time left that each was told.

--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -10,7 +10,7 @@
 use kit::{
     accept_loop, ms, ok_answer, Connection, Discovery, Entry, Limiter, Random, Record, Request, Site, Stop,
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
@@ -32,7 +32,8 @@
 fn main() {
     let record = Record::create(&PathBuf::from(std::env::var("CASE_RECORD").expect("CASE_RECORD")));
 
-    let entries: Vec<Entry> = (0..SERVERS).map(|number| start_server(number, &record)).collect();
+    let (runs, lost_ids) = (Ids::default(), Ids::default());
+    let entries: Vec<Entry> = (0..SERVERS).map(|number| start_server(number, &record, &runs)).collect();
     let discovery = Discovery::start(entries, &record);
     let site = Site { sockets: SOCKETS, ..Site::leith(2) };
     let mut limiters = Limiter::prepare(&site, discovery.address);
@@ -52,8 +53,8 @@
         .enumerate()
         .map(|(position, limiter)| {
             let front = Front::new(limiter.address, MAX_FRONT_CONNECTIONS, &record);
-            let (record, counts) = (record.clone(), counts.clone());
-            thread::spawn(move || send_requests(position, &front, &record, &counts, started))
+            let (record, counts, lost_ids) = (record.clone(), counts.clone(), lost_ids.clone());
+            thread::spawn(move || send_requests(position, &front, &record, &counts, &lost_ids, started))
         })
         .collect();
     thread::sleep(QUIET);
@@ -76,6 +77,8 @@
         record.say(&format!("{what}: {count}"));
     }
     let lost: u32 = counts.iter().filter(|(what, _)| what.contains("LOST")).map(|(_, count)| count).sum();
+    let run = lost_ids.lock().unwrap().intersection(&runs.lock().unwrap()).count();
+    record.say(&format!("of the lost requests, servers ran {run}"));
     if !all_running {
         record.say("a limiter has ended by itself");
     }
@@ -88,16 +91,23 @@
     record.say("HELD: every usual request was answered in time");
 }
 
+/// The ids of the requests that servers have run, and of those that were lost.
+type Ids = Arc<Mutex<HashSet<String>>>;
+
 /// A sound server: serves each request after some work.
-fn start_server(number: usize, record: &Record) -> Entry {
+fn start_server(number: usize, record: &Record, runs: &Ids) -> Entry {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().unwrap();
     let random = Mutex::new(Random::new(number as u64 + 1));
-    let record = record.clone();
+    let (record, runs) = (record.clone(), runs.clone());
     accept_loop(listener, move |mut connection| {
         while let Some(request) = connection.read_message(None) {
             let id = request.id();
-            record.line(&format!("s-{number} runs {id}"));
+            record.line(&format!(
+                "s-{number} runs {id}, told {} s",
+                request.header("X-Time-Left").unwrap_or("-")
+            ));
+            runs.lock().unwrap().insert(id.clone());
             let unit = random.lock().unwrap().unit();
             thread::sleep(Duration::from_secs_f64(0.095 + 0.065 * unit));
             if !connection.write(ok_answer(&format!("{id} done"), "X-True-Cost: 1\r\n").as_bytes()) {
@@ -114,6 +124,7 @@
     front: &Arc<Front>,
     record: &Record,
     counts: &Arc<Mutex<BTreeMap<String, u32>>>,
+    lost_ids: &Ids,
     started: Instant,
 ) {
     let mut random = Random::new(100 + position as u64);
@@ -138,7 +149,8 @@
             weight: "units=1,spread=2,first=0".into(),
             body: b"{\"case\":1}".to_vec(),
         };
-        let (front, record, counts) = (front.clone(), record.clone(), counts.clone());
+        let (front, record, counts, lost_ids) =
+            (front.clone(), record.clone(), counts.clone(), lost_ids.clone());
         threads.push(thread::spawn(move || {
             let ending = front.send(&request);
             let what = match &ending {
@@ -148,6 +160,9 @@
                 Ending::NotSent => "not sent by the front (not counted)".to_string(),
             };
             record.line(&format!("{} at n{position}: {what}", request.id));
+            if matches!(ending, Ending::NoAnswer) {
+                lost_ids.lock().unwrap().insert(request.id.clone());
+            }
             *counts.lock().unwrap().entry(format!("n{position} {what}")).or_insert(0) += 1;
         }));
     }
