--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -10,18 +10,28 @@
     exit 2
 fi
 CASE_TMP=$(mktemp -d) || exit 2
-trap 'rm -rf "$CASE_TMP"' EXIT
 export CASE_TMP RUN_COMMAND ROOT=$root CASE_RECORD=$root/review/$number/record.txt
 unset ROUTER_CONFIG ROUTER_NAME ROUTER_LISTEN ROUTER_DISCOVERY
-timeout -k 5 115 "$program"
-code=$?
-# The limiters are ended by the program. If it was ended itself, end the limiters that it has named in the record.
-if [ "$code" -ne 0 ] && [ "$code" -ne 1 ]; then
-    for pid in $(sed -n 's/.*started as process \([0-9]*\)$/\1/p' "$CASE_RECORD"); do
-        if tr '\0' '\n' <"/proc/$pid/environ" 2>/dev/null | grep -qxF "CASE_TMP=$CASE_TMP"; then
+child=
+
+# Ends the program, and the limiters that it has named in the record if it could not end them itself. A process is
+# ended only if its environment shows that this run started it.
+clean_up() {
+    [ -n "$child" ] && kill -TERM "$child" 2>/dev/null && wait "$child" 2>/dev/null
+    for pid in $(sed -n 's/.*started as process \([0-9]*\)$/\1/p' "$CASE_RECORD" 2>/dev/null); do
+        if tr '\0' '\n' 2>/dev/null <"/proc/$pid/environ" | grep -qxF "CASE_TMP=$CASE_TMP"; then
             kill -KILL "$pid" 2>/dev/null
         fi
-    done
-    exit 2
-fi
+    done 2>/dev/null
+    rm -rf "$CASE_TMP"
+}
+trap clean_up EXIT
+trap 'exit 2' INT TERM HUP
+
+timeout -k 3 110 "$program" &
+child=$!
+wait "$child"
+code=$?
+child=
+[ "$code" -eq 0 ] || [ "$code" -eq 1 ] || code=2
 exit "$code"
