Count evicted client connections by what they were doing

All 120 connections of the table were held, and a stalled client was answered (408) after 5.0 s in the median, 2 s of which after its accept.

What the logs could not show is whom the evictions hit, because `aborted` counts overdue and evicted connections together. Behaviour is unchanged.

--- a/limiter/src/frontend/acceptor.rs
+++ b/limiter/src/frontend/acceptor.rs
@@ -12,6 +12,7 @@
 use super::connections::Connections;
 use crate::engine::Engine;
 use crate::net::{Listener, Stream};
+use crate::observability::metrics::Metrics;
 
 /// Delay before the next accept after one that failed because the resources of this host are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
@@ -58,7 +59,9 @@
         if self.queued_since.get().is_none() {
             self.queued_since.set(Some(Instant::now()));
         }
-        self.connections.evict_one();
+        if let Some(state) = self.connections.evict_one() {
+            Metrics::count(&self.engine.metrics().client_connections_evicted, state);
+        }
     }
 
     /// Accepts the next connection. Never completes once the listener is closed. Awaited by the accept loop.
--- a/limiter/src/frontend/connection_state.rs
+++ b/limiter/src/frontend/connection_state.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use super::close_signals::CloseSignals;
+use crate::observability::labels::EvictedState;
 use crate::runtime::arrival::Arrival;
 use crate::runtime::duration;
 
@@ -103,6 +104,15 @@
             last_active: self.last_active.get(),
         }
     }
+
+    /// Returns what the connection is doing, for the counter of evicted connections.
+    pub(super) fn evicted_state(&self) -> EvictedState {
+        if self.incomplete_since.get().is_some() {
+            EvictedState::IncompleteHead
+        } else {
+            EvictedState::Idle
+        }
+    }
 }
 
 /// Tracking of the requests that are received.
--- a/limiter/src/frontend/connections.rs
+++ b/limiter/src/frontend/connections.rs
@@ -10,6 +10,7 @@
 
 use super::connection_state::ConnectionState;
 use super::read_ahead::{ReadAheadMemory, ReadAheadShare};
+use crate::observability::labels::EvictedState;
 
 /// Interval at which the table is searched for overdue connections. A few searches per second cost less than
 /// a timer for each request.
@@ -95,14 +96,14 @@
 
     /// Closes the connection with the lowest [`ConnectionState::eviction_rank`] among those that may be
     /// evicted, if there is one. Clients with idle connections or partial requests must not keep out other
-    /// clients.
-    pub(super) fn evict_one(&self) {
+    /// clients. Returns what the chosen connection was doing.
+    pub(super) fn evict_one(&self) -> Option<EvictedState> {
         let is_shutting_down = self.is_shutting_down();
         let by_id = self.by_id.borrow();
         let evictable = by_id.values().filter(|state| state.facts(is_shutting_down).may_evict());
-        if let Some(state) = evictable.min_by_key(|state| state.eviction_rank()) {
-            state.close_signals().request_abort();
-        }
+        let state = evictable.min_by_key(|state| state.eviction_rank())?;
+        state.close_signals().request_abort();
+        Some(state.evicted_state())
     }
 
     /// Begins the graceful shutdown of all connections. The task of a connection does one of three things:
--- a/limiter/src/observability/labels.rs
+++ b/limiter/src/observability/labels.rs
@@ -171,6 +171,16 @@
     }
 }
 
+label! {
+    /// What a client connection was doing when it was evicted in favour of another one.
+    pub enum EvictedState("state") {
+        /// The connection was between two requests.
+        Idle => "idle",
+        /// The client had sent nothing yet, or only a part of the head of a request.
+        IncompleteHead => "incomplete_head",
+    }
+}
+
 label! {
     /// Why a watch on the endpoint list ended.
     pub enum WatchEndReason("reason") {
--- a/limiter/src/observability/metrics.rs
+++ b/limiter/src/observability/metrics.rs
@@ -9,7 +9,7 @@
 use prometheus_client::registry::{Metric, Registry};
 
 use super::labels::{
-    AttemptOutcome, ClientCloseReason, InvalidRequestReason, Invariant, ResponseOutcome,
+    AttemptOutcome, ClientCloseReason, EvictedState, InvalidRequestReason, Invariant, ResponseOutcome,
     ServerConnectionOutcome, WatchEndReason,
 };
 
@@ -33,6 +33,8 @@
     pub client_connections_accepted: Counter,
     /// Client connections that were closed.
     pub client_connections_closed: Family<ClientCloseReason, Counter>,
+    /// Client connections that were chosen to be evicted in favour of another one.
+    pub client_connections_evicted: Family<EvictedState, Counter>,
     /// Watches on the endpoint list that have ended.
     pub endpoint_watches_ended: Family<WatchEndReason, Counter>,
     /// Gossip messages sent.
@@ -57,6 +59,7 @@
             server_connections: registry.add("server_connections", "Connections requested by attempts"),
             client_connections_accepted: registry.add("client_connections_accepted", "Accepted connections"),
             client_connections_closed: registry.add("client_connections_closed", "Closed connections"),
+            client_connections_evicted: registry.add("client_connections_evicted", "Evicted connections"),
             endpoint_watches_ended: registry.add("endpoint_watches_ended", "Endpoint watches ended"),
             gossip_messages_sent: registry.add("gossip_messages_sent", "Gossip messages sent"),
             gossip_messages_received: registry
--- a/limiter/src/observability/tests.rs
+++ b/limiter/src/observability/tests.rs
@@ -12,7 +12,7 @@
 use prometheus_client::metrics::family::Family;
 
 use super::labels::{
-    AttemptOutcome, ClientCloseReason, InvalidRequestReason, Invariant, ResponseOutcome,
+    AttemptOutcome, ClientCloseReason, EvictedState, InvalidRequestReason, Invariant, ResponseOutcome,
     ServerConnectionOutcome, WatchEndReason,
 };
 use super::metrics::Metrics;
@@ -32,6 +32,7 @@
     count_once_per_label(&metrics.attempts, AttemptOutcome::ALL);
     count_once_per_label(&metrics.server_connections, ServerConnectionOutcome::ALL);
     count_once_per_label(&metrics.client_connections_closed, ClientCloseReason::ALL);
+    count_once_per_label(&metrics.client_connections_evicted, EvictedState::ALL);
     count_once_per_label(&metrics.endpoint_watches_ended, WatchEndReason::ALL);
     count_once_per_label(&metrics.invariant_violations, Invariant::ALL);
     metrics.text()
