Evict clients that stop within a body, and answer them with 503

Cause: a request counted as open from the end of its head on. A connection whose body was missing could therefore not be evicted and kept its place for 2 s, the time after which it gets a 408.

Change: a request is incomplete until the end of its body. A connection may be evicted 100 ms after an incomplete request began to arrive, in the head (as before) or in the body. Within a body the request is rejected with 503, with Retry-After where the settings allow one: its client may just be sending the last byte, and a request that was sent needs a response. Among incomplete requests the one without progress for longest goes first, so that a slow client goes after one that has stopped. Related: on a kept connection the 100 ms began at the last response, so that the beginning of the next request could be closed at once; they now begin with its first byte. A search of the table reads the clock once.

Evidence that it works: the new tests fail before (no answer in 10.5 s) and pass after.

--- a/limiter-core/src/request/final_response.rs
+++ b/limiter-core/src/request/final_response.rs
@@ -24,15 +24,18 @@
 
     /// Returns the rejection of a request. The rejection says when to retry if the settings allow it.
     pub(super) fn rejection(&self, request: &Request) -> Action {
-        let retry_after_ms =
-            if self.context.settings.can_send_retry_after { self.retry_after_ms(request) } else { 0.0 };
-        Action::Reject { id: request.id, retry_after_ms }
+        Action::Reject { id: request.id, retry_after_ms: self.retry_after_ms(request) }
     }
 
-    /// Returns the time in milliseconds after which a rejected client should retry: the time in which its
-    /// rate quota refills by the cost of the request or, without a rate quota, the longest time for which the
-    /// request would have been queued.
-    fn retry_after_ms(&self, request: &Request) -> Millis {
+    /// Returns the time in milliseconds after which the client of a rejected request should retry: the time in
+    /// which its rate quota refills by the cost of the request or, without a rate quota, the longest time for
+    /// which the request would have been queued. Returns 0, which means no advice, if the settings do not
+    /// allow any. The class and the plan of the request must exist.
+    #[must_use]
+    pub fn retry_after_ms(&self, request: &Request) -> Millis {
+        if !self.context.settings.can_send_retry_after {
+            return 0.0;
+        }
         let plan = self.context.plan(request);
         if plan.rate > 0.0 {
             1000.0 * request.cost_units / plan.rate
--- a/limiter-core/src/rules/client_connections.rs
+++ b/limiter-core/src/rules/client_connections.rs
@@ -17,20 +17,21 @@
 /// Time in milliseconds for which a connection must have been idle since its last response before it may be
 /// evicted so that another connection can be accepted.
 const IDLE_EVICTION_DELAY_MS: Millis = 50.0;
-/// Time in milliseconds for which a connection with an incomplete request must have been idle, since its
-/// accept or its last response, before it may be evicted. In the meantime, clients in the accept queue may
-/// have to wait.
+/// Time in milliseconds for which a request must have been arriving before it may be evicted. In the meantime,
+/// clients in the accept queue may have to wait.
 const INCOMPLETE_EVICTION_DELAY_MS: Millis = 100.0;
 
 /// The facts about a client connection that decide whether it may be closed.
 #[derive(Debug, Clone, Copy)]
 pub struct ClientConnectionFacts {
-    /// Number of requests that have been read and whose responses are not written completely.
+    /// Number of requests whose head has been read and whose responses are not written completely.
     pub open_requests: u32,
+    /// Whether the body of the last open request is still awaited.
+    pub is_receiving_body: bool,
     /// For how many milliseconds a response has been waiting to be written, if there is one.
     pub unwritten_for_ms: Option<Millis>,
-    /// For how many milliseconds a request has been arriving, if one is incomplete. The first request of a
-    /// connection is regarded as arriving from the accept on.
+    /// For how many milliseconds a request has been arriving, if its head or its body is incomplete. The
+    /// first request of a connection is regarded as arriving from the accept on.
     pub incomplete_for_ms: Option<Millis>,
     /// Time in milliseconds since the connection was accepted or last answered.
     pub idle_ms: Millis,
@@ -38,6 +39,16 @@
     pub is_shutting_down: bool,
 }
 
+/// How a connection is evicted so that another connection can be accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Eviction {
+    /// The connection is closed: no response is outstanding.
+    Close,
+    /// The open request, whose body is incomplete, is rejected, and the connection ends with that response.
+    /// The client may just be sending the last byte, and a request that was sent needs a response.
+    RejectRequest,
+}
+
 impl ClientConnectionFacts {
     /// Returns whether the client has not read a response within [`WRITE_TIMEOUT_MS`].
     fn has_write_timed_out(&self) -> bool {
@@ -70,15 +81,28 @@
         is_overdue && self.may_close()
     }
 
-    /// Returns whether the connection may be closed so that another connection can be accepted.
+    /// Returns how the connection may be evicted now, or `None` if it must stay open.
     #[must_use]
-    pub fn may_evict(&self) -> bool {
-        let min_idle_ms = if self.incomplete_for_ms.is_some() {
-            INCOMPLETE_EVICTION_DELAY_MS
-        } else {
-            IDLE_EVICTION_DELAY_MS
-        };
-        self.may_close() && self.idle_ms > min_idle_ms
+    pub fn eviction(&self) -> Option<Eviction> {
+        if self.may_close() {
+            return self.has_been_unused_for_long().then_some(Eviction::Close);
+        }
+        let may_reject = self.has_only_incomplete_request() && self.has_been_unused_for_long();
+        may_reject.then_some(Eviction::RejectRequest)
+    }
+
+    /// Returns whether the body of the only open request is incomplete.
+    fn has_only_incomplete_request(&self) -> bool {
+        self.is_receiving_body && self.open_requests == 1
+    }
+
+    /// Returns whether a request has been arriving, or no request has arrived, for so long that the connection
+    /// may be given to another client.
+    fn has_been_unused_for_long(&self) -> bool {
+        match self.incomplete_for_ms {
+            Some(incomplete_ms) => incomplete_ms > INCOMPLETE_EVICTION_DELAY_MS,
+            None => self.idle_ms > IDLE_EVICTION_DELAY_MS,
+        }
     }
 
     /// Returns whether a request is probably in transit: the connection was accepted less than
--- a/limiter-core/src/rules/mod.rs
+++ b/limiter-core/src/rules/mod.rs
@@ -25,6 +25,6 @@
 pub use attempts::{
     may_attempt, may_execute, may_send, AttemptDenied, AttemptFacts, ExecutionFacts, SendFacts,
 };
-pub use client_connections::{ClientConnectionFacts, INCOMPLETE_REQUEST_TIMEOUT_MS};
+pub use client_connections::{ClientConnectionFacts, Eviction, INCOMPLETE_REQUEST_TIMEOUT_MS};
 pub use server_connections::ServerConnectionFacts;
 pub use shutdown::{may_exit, ShutdownFacts};
--- a/limiter-core/tests/rules.rs
+++ b/limiter-core/tests/rules.rs
@@ -6,6 +6,7 @@
 /// The facts of a connection that is idle between two requests.
 const IDLE: ClientConnectionFacts = ClientConnectionFacts {
     open_requests: 0,
+    is_receiving_body: false,
     unwritten_for_ms: None,
     incomplete_for_ms: None,
     idle_ms: 0.0,
@@ -17,10 +18,30 @@
     let open = ClientConnectionFacts { open_requests: 1, idle_ms: 60_000.0, ..IDLE };
     assert!(!open.may_close());
     assert!(!open.is_overdue());
-    assert!(!open.may_evict());
+    assert_eq!(open.eviction(), None);
     assert!(open.blocks_shutdown());
 }
 
+/// A client that stalls must not keep out other clients, wherever in a request it stops. Once the head has been
+/// read, it needs a response.
+#[test]
+fn a_connection_may_be_evicted_after_a_request_has_been_arriving_for_100_ms() {
+    let in_head = |ms| ClientConnectionFacts { incomplete_for_ms: Some(ms), idle_ms: 9_000.0, ..IDLE };
+    let in_body = |ms| ClientConnectionFacts { open_requests: 1, is_receiving_body: true, ..in_head(ms) };
+    assert_eq!(in_head(90.0).eviction(), None, "the request may be in transit");
+    assert_eq!(in_body(90.0).eviction(), None, "the request may be in transit");
+    assert_eq!(in_head(110.0).eviction(), Some(Eviction::Close));
+    assert_eq!(in_body(110.0).eviction(), Some(Eviction::RejectRequest));
+    let behind_an_unwritten_response = ClientConnectionFacts { open_requests: 2, ..in_body(110.0) };
+    assert_eq!(behind_an_unwritten_response.eviction(), None);
+}
+
+#[test]
+fn an_idle_connection_may_be_evicted_50_ms_after_its_response() {
+    assert_eq!(ClientConnectionFacts { idle_ms: 40.0, ..IDLE }.eviction(), None);
+    assert_eq!(ClientConnectionFacts { idle_ms: 60.0, ..IDLE }.eviction(), Some(Eviction::Close));
+}
+
 #[test]
 fn a_connection_whose_response_is_not_read_is_overdue_after_10_s() {
     let unread_for = |unwritten_ms| ClientConnectionFacts {
--- a/limiter/src/engine/submission.rs
+++ b/limiter/src/engine/submission.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use limiter_core::{Event, Request, RequestId};
+use limiter_core::{Event, Millis, Request, RequestId};
 
 use super::pending::{Deadlines, InsertedRequest};
 use super::timer_queue::TimerKind;
@@ -53,6 +53,12 @@
         Ok(PendingResponse::new(self.clone(), id, response))
     }
 
+    /// Returns the time in milliseconds after which the client of a rejected request should retry; 0 if the
+    /// client is not advised.
+    pub fn retry_after_ms(&self, request: &Request) -> Millis {
+        self.state.borrow().limiter.retry_after_ms(request)
+    }
+
     /// Returns whether the client of a request still waits for its response. Reads the client's socket,
     /// because a disconnect may not have been read yet if the process stalled, and records a disconnect that
     /// it finds.
--- a/limiter/src/frontend/close_signals.rs
+++ b/limiter/src/frontend/close_signals.rs
@@ -1,23 +1,30 @@
-//! Signals that ask a connection's task to close its connection.
+//! Signals that ask a connection's task to close its connection, or to reject its incomplete request.
 
 use std::cell::Cell;
 
 use tokio::sync::futures::Notified;
 use tokio::sync::Notify;
 
-/// Signals that ask a connection's task to close its connection, gracefully or at once.
+/// Signals that ask a connection's task to close its connection, gracefully or at once, or to reject a request
+/// that is incomplete.
 pub(super) struct CloseSignals {
     /// Whether a graceful shutdown has been requested: the connection has to end as soon as no response is
     /// outstanding.
     is_shutting_down: Cell<bool>,
     shutdown: Notify,
     abort: Notify,
+    rejection: Notify,
 }
 
 impl CloseSignals {
     /// Creates signals none of which has been sent.
     pub(super) fn new() -> CloseSignals {
-        CloseSignals { is_shutting_down: Cell::new(false), shutdown: Notify::new(), abort: Notify::new() }
+        CloseSignals {
+            is_shutting_down: Cell::new(false),
+            shutdown: Notify::new(),
+            abort: Notify::new(),
+            rejection: Notify::new(),
+        }
     }
 
     /// Asks the connection's task for a graceful shutdown, now and whenever a response has been written.
@@ -54,4 +61,19 @@
         self.abort.notified().await;
         tokio::task::yield_now().await;
     }
+    /// Asks the handler of the open request to reject the request, whose body is incomplete. The handler
+    /// ignores this if the body has arrived.
+    pub(super) fn request_rejection(&self) {
+        self.rejection.notify_one();
+    }
+
+    /// Completes one yield after a rejection has been requested, so that a body which has arrived is read
+    /// first, as for [`CloseSignals::abort_requested`]. Awaited by the handler of the open request. A signal
+    /// that is sent while no handler waits is stored, possibly for a later request: the handler checks whether
+    /// the request may still be rejected. Cancelling during the yield loses the signal; the eviction that sent
+    /// it sends it again.
+    pub(super) async fn rejection_requested(&self) {
+        self.rejection.notified().await;
+        tokio::task::yield_now().await;
+    }
 }
--- a/limiter/src/frontend/connection_state.rs
+++ b/limiter/src/frontend/connection_state.rs
@@ -3,7 +3,7 @@
 
 use std::cell::Cell;
 
-use limiter_core::rules::ClientConnectionFacts;
+use limiter_core::rules::{ClientConnectionFacts, Eviction};
 use tokio::time::Instant;
 
 use super::close_signals::CloseSignals;
@@ -40,9 +40,8 @@
     /// The latest time at which the connection was accepted, a response became ready, or a response was
     /// written.
     last_active: Cell<Instant>,
-    /// When the first byte of the arriving request was read. `None` if no request is arriving, and after
-    /// hyper has parsed the head. The first request of a connection is treated as arriving from the accept
-    /// on.
+    /// When the first byte of the arriving request was read. `None` if no request is arriving. The first
+    /// request of a connection is treated as arriving from the accept on.
     incomplete_since: Cell<Option<Instant>>,
     /// Whether the response that is ready is the last one of the connection. Nothing more is read.
     has_last_response: Cell<bool>,
@@ -55,8 +54,10 @@
     /// Whether no request is arriving. Connections whose client has sent nothing yet, or only a part of a
     /// request, are evicted before others.
     is_between_requests: bool,
-    /// Among otherwise equal connections, the one that has been inactive for longest is evicted first.
-    last_active: Instant,
+    /// Latest time at which the connection was accepted, bytes of the client were read, a response became
+    /// ready, or a response was written. Among otherwise equal connections, the one without progress for
+    /// longest is evicted first.
+    last_progress: Instant,
 }
 
 impl ConnectionState {
@@ -82,9 +83,15 @@
 
     /// Returns the current facts from which the rules decide about the connection.
     pub(super) fn facts(&self, is_shutting_down: bool) -> ClientConnectionFacts {
-        let elapsed_ms = |since: Instant| duration::to_ms(since.elapsed());
+        self.facts_at(Instant::now(), is_shutting_down)
+    }
+
+    /// Returns the facts at the time `now`, which a search of the table reads once for all connections.
+    pub(super) fn facts_at(&self, now: Instant, is_shutting_down: bool) -> ClientConnectionFacts {
+        let elapsed_ms = |since: Instant| duration::to_ms(now.saturating_duration_since(since));
         ClientConnectionFacts {
             open_requests: self.open_requests.get(),
+            is_receiving_body: self.is_receiving_body.get(),
             unwritten_for_ms: self.unwritten_since.get().map(elapsed_ms),
             incomplete_for_ms: self.incomplete_since.get().map(elapsed_ms),
             idle_ms: elapsed_ms(self.last_active.get()),
@@ -99,15 +106,28 @@
 
     /// Returns the rank of the connection in the order of eviction.
     pub(super) fn eviction_rank(&self) -> EvictionRank {
+        let last_read_at = Instant::from_std(self.last_arrival.get().read_at);
         EvictionRank {
             is_between_requests: self.incomplete_since.get().is_none(),
-            last_active: self.last_active.get(),
+            last_progress: self.last_active.get().max(last_read_at),
+        }
+    }
+
+    /// Evicts the connection: asks its task to close it, or the handler of its request to reject the request.
+    /// Returns what the connection was doing.
+    pub(super) fn evict(&self, eviction: Eviction) -> EvictedState {
+        match eviction {
+            Eviction::Close => self.close_signals.request_abort(),
+            Eviction::RejectRequest => self.close_signals.request_rejection(),
         }
+        self.evicted_state()
     }
 
     /// Returns what the connection is doing, for the counter of evicted connections.
-    pub(super) fn evicted_state(&self) -> EvictedState {
-        if self.incomplete_since.get().is_some() {
+    fn evicted_state(&self) -> EvictedState {
+        if self.is_receiving_body.get() {
+            EvictedState::IncompleteBody
+        } else if self.incomplete_since.get().is_some() {
             EvictedState::IncompleteHead
         } else {
             EvictedState::Idle
@@ -153,15 +173,17 @@
         self.is_receiving_body.set(true);
     }
 
-    /// Returns when the open request began to arrive. Bytes that are read from now on belong to the next
-    /// request, except for those of the body.
-    pub(super) fn take_request_start(&self) -> Instant {
-        self.incomplete_since.take().unwrap_or_else(Instant::now)
+    /// Returns when the request whose head has been received began to arrive.
+    pub(super) fn request_start(&self) -> Instant {
+        self.incomplete_since.get().unwrap_or_else(Instant::now)
     }
 
-    /// Records that the body of the open request has arrived, or is no longer awaited.
+    /// Records that the body of the open request has arrived, or is no longer awaited. Bytes that are read
+    /// from now on belong to the next request.
     pub(super) fn record_body_end(&self) {
-        self.is_receiving_body.set(false);
+        if self.is_receiving_body.replace(false) {
+            self.incomplete_since.set(None);
+        }
     }
 
     /// Records that the client sent more after an open request than may be buffered.
@@ -196,7 +218,7 @@
 
     /// Records that the response to the open request is ready to be written.
     pub(super) fn record_response_ready(&self) {
-        self.is_receiving_body.set(false);
+        self.record_body_end();
         let now = Instant::now();
         self.unanswered_requests.set(self.unanswered_requests.get().saturating_sub(1));
         self.unwritten_responses.set(self.unwritten_responses.get() + 1);
--- a/limiter/src/frontend/connection_state/tests.rs
+++ b/limiter/src/frontend/connection_state/tests.rs
@@ -16,3 +16,24 @@
     state.record_flush();
     assert!(state.facts(false).may_close(), "both are answered");
 }
+
+/// A connection must be evictable while a body is incomplete, and not once the request has been read.
+#[test]
+fn a_request_is_incomplete_until_the_end_of_its_body() {
+    let state = ConnectionState::new();
+    state.record_head_received();
+    let facts = state.facts(false);
+    assert!(facts.is_receiving_body && facts.incomplete_for_ms.is_some());
+    state.record_body_end();
+    let facts = state.facts(false);
+    assert!(!facts.is_receiving_body && facts.incomplete_for_ms.is_none());
+}
+
+/// A client that sends slowly must not lose its connection before one that has stopped.
+#[test]
+fn the_client_without_progress_for_longest_is_evicted_first() {
+    let slow = ConnectionState::new();
+    let stalled = ConnectionState::new();
+    slow.record_bytes_read_by_hyper(Arrival::not_before(Instant::now().into_std()));
+    assert!(stalled.eviction_rank() < slow.eviction_rank());
+}
--- a/limiter/src/frontend/connections.rs
+++ b/limiter/src/frontend/connections.rs
@@ -7,6 +7,7 @@
 
 use tokio::sync::futures::Notified;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use super::connection_state::ConnectionState;
 use super::read_ahead::{ReadAheadMemory, ReadAheadShare};
@@ -80,8 +81,9 @@
     pub(super) async fn sweep(self: Rc<Self>) {
         loop {
             tokio::time::sleep(SWEEP_INTERVAL).await;
+            let now = Instant::now();
             for state in self.by_id.borrow().values() {
-                if state.facts(self.is_shutting_down()).is_overdue() {
+                if state.facts_at(now, self.is_shutting_down()).is_overdue() {
                     state.close_signals().request_abort();
                 }
             }
@@ -91,19 +93,23 @@
     /// Returns whether the shutdown has to wait for any connection.
     pub(super) fn blocks_shutdown(&self) -> bool {
         let is_shutting_down = self.is_shutting_down();
-        self.by_id.borrow().values().any(|state| state.facts(is_shutting_down).blocks_shutdown())
+        let now = Instant::now();
+        self.by_id.borrow().values().any(|state| state.facts_at(now, is_shutting_down).blocks_shutdown())
     }
 
-    /// Closes the connection with the lowest [`ConnectionState::eviction_rank`] among those that may be
+    /// Evicts the connection with the lowest [`ConnectionState::eviction_rank`] among those that may be
     /// evicted, if there is one. Clients with idle connections or partial requests must not keep out other
     /// clients. Returns what the chosen connection was doing.
     pub(super) fn evict_one(&self) -> Option<EvictedState> {
         let is_shutting_down = self.is_shutting_down();
+        let now = Instant::now();
         let by_id = self.by_id.borrow();
-        let evictable = by_id.values().filter(|state| state.facts(is_shutting_down).may_evict());
-        let state = evictable.min_by_key(|state| state.eviction_rank())?;
-        state.close_signals().request_abort();
-        Some(state.evicted_state())
+        let evictable = by_id.values().filter_map(|state| {
+            let eviction = state.facts_at(now, is_shutting_down).eviction()?;
+            Some((state, eviction))
+        });
+        let (state, eviction) = evictable.min_by_key(|(state, _)| state.eviction_rank())?;
+        Some(state.evict(eviction))
     }
 
     /// Begins the graceful shutdown of all connections. The task of a connection does one of three things:
@@ -124,8 +130,9 @@
     /// not asked to shut down. It ends with the response to that request.
     pub(super) fn shut_down(&self) {
         self.is_shutting_down.set(true);
+        let now = Instant::now();
         for state in self.by_id.borrow().values() {
-            if !state.facts(true).expects_request_soon() {
+            if !state.facts_at(now, true).expects_request_soon() {
                 state.close_signals().request_shutdown();
             }
         }
--- a/limiter/src/frontend/request/handler.rs
+++ b/limiter/src/frontend/request/handler.rs
@@ -3,10 +3,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
-use limiter_core::rules::INCOMPLETE_REQUEST_TIMEOUT_MS;
-use tokio::time::{timeout_at, Instant};
+use limiter_core::rules::{Eviction, INCOMPLETE_REQUEST_TIMEOUT_MS};
+use limiter_core::Millis;
+use tokio::time::{sleep_until, Instant};
 
 use super::body::{read_body, RequestBodyError};
 use super::head::{RequestHead, RequestHeadError};
@@ -16,7 +18,7 @@
 use crate::frontend::read_ahead::ClientSocket;
 use crate::frontend::response::{self, ClientResponse};
 use crate::messages::request::ForwardedRequest;
-use crate::observability::labels::InvalidRequestReason;
+use crate::observability::labels::{InvalidRequestReason, ShedReason};
 use crate::observability::metrics::Metrics;
 
 /// Time within which a request has to arrive completely, measured from its first byte, or from the accept for
@@ -37,6 +39,15 @@
     /// A request with the same correlation id is pending.
     #[error("a request with this X-Correlation-Id is open")]
     Duplicate,
+    /// The request is valid as far as it was read, and client connections are scarce. The client may send it
+    /// again.
+    #[error("too many connections")]
+    Shed {
+        /// Why the request was chosen.
+        reason: ShedReason,
+        /// Time in milliseconds after which the client should retry; 0 if the client is not advised.
+        retry_after_ms: Millis,
+    },
 }
 
 impl RequestError {
@@ -46,6 +57,7 @@
             RequestError::Head(error) => error.status(),
             RequestError::Body(error) => error.status(),
             RequestError::Duplicate => StatusCode::CONFLICT,
+            RequestError::Shed { .. } => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
@@ -95,7 +107,7 @@
 
     /// Returns the response to a request. The engine treats cancelling as a disconnect of the client.
     async fn respond(&self, request: Request<Incoming>) -> ClientResponse {
-        let started_at = self.state.take_request_start();
+        let started_at = self.state.request_start();
         if request.uri().path() == READINESS_PATH {
             return self.readiness_response();
         }
@@ -113,6 +125,9 @@
 
     /// Counts and logs a request that was rejected before it was submitted, and returns its response.
     fn reject(&self, error: &RequestError) -> ClientResponse {
+        if let RequestError::Shed { reason, retry_after_ms } = error {
+            return self.shed(*reason, *retry_after_ms);
+        }
         let engine = &self.engine;
         let status = error.status();
         let reason = InvalidRequestReason::from_status(status);
@@ -121,6 +136,13 @@
         response::invalid_request(status, error.to_string())
     }
 
+    /// Counts and logs a request that was shed, and returns its response.
+    fn shed(&self, reason: ShedReason, retry_after_ms: Millis) -> ClientResponse {
+        tracing::debug!(%reason, "request shed");
+        Metrics::count(&self.engine.metrics().shed_requests, reason);
+        response::overloaded(retry_after_ms)
+    }
+
     /// Receives and validates a request that began to arrive at `started_at`, and submits it.
     ///
     /// # Errors
@@ -133,9 +155,9 @@
     ) -> Result<PendingResponse, RequestError> {
         let (parts, body) = request.into_parts();
         let head = RequestHead::parse(&parts, self.engine.config())?;
-        let body = timeout_at(started_at + INCOMPLETE_REQUEST_TIMEOUT, read_body(body)).await;
+        let body = self.receive_body(body, &head.request, started_at).await;
         self.state.record_body_end();
-        let body = body.map_err(|_| RequestBodyError::TimedOut)??;
+        let body = body?;
         if parts.method == Method::GET && !body.is_empty() {
             return Err(RequestBodyError::UnexpectedWithGet.into());
         }
@@ -151,6 +173,40 @@
             .map_err(|DuplicateRequest| RequestError::Duplicate)
     }
 
+    /// Receives the body of a request that began to arrive at `started_at`. The body is read before any other
+    /// branch decides.
+    ///
+    /// # Errors
+    /// [`RequestError`] if the body is invalid or does not arrive in time, or if the connection is evicted.
+    async fn receive_body(
+        &self,
+        body: Incoming,
+        request: &limiter_core::Request,
+        started_at: Instant,
+    ) -> Result<Bytes, RequestError> {
+        tokio::select! {
+            biased;
+            body = read_body(body) => Ok(body?),
+            () = self.evicted() => Err(RequestError::Shed {
+                reason: ShedReason::Evicted,
+                retry_after_ms: self.engine.retry_after_ms(request),
+            }),
+            () = sleep_until(started_at + INCOMPLETE_REQUEST_TIMEOUT) => Err(RequestBodyError::TimedOut.into()),
+        }
+    }
+
+    /// Completes when the open request, whose body is incomplete, has to be rejected in favour of another
+    /// connection.
+    async fn evicted(&self) {
+        loop {
+            self.state.close_signals().rejection_requested().await;
+            let facts = self.state.facts(self.connections.is_shutting_down());
+            if facts.eviction() == Some(Eviction::RejectRequest) {
+                return;
+            }
+        }
+    }
+
     /// Waits for the final response. Meanwhile, the connection's task watches for a disconnect of the client.
     ///
     /// Cancelling drops `pending`, which reports the disconnect to the engine.
--- a/limiter/src/frontend/response.rs
+++ b/limiter/src/frontend/response.rs
@@ -33,6 +33,16 @@
     }
 }
 
+/// Returns the response to a valid request that was not submitted, because client connections are scarce, with
+/// advice on when to retry if there is any. The body of the request may be unread, so the response ends the
+/// connection.
+pub(super) fn overloaded(retry_after_ms: Millis) -> ClientResponse {
+    let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
+    advise_retry(&mut response, retry_after_ms);
+    close_connection(&mut response);
+    response
+}
+
 /// Makes hyper close the connection after this response, and announces that to the client.
 pub(super) fn close_connection(response: &mut ClientResponse) {
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -42,14 +52,20 @@
 /// any.
 fn too_many_requests(retry_after_ms: Millis) -> ClientResponse {
     let mut response = empty(StatusCode::TOO_MANY_REQUESTS);
-    if retry_after_ms > 0.0 {
-        if let Ok(seconds) = HeaderValue::from_str(&format!("{:.3}", retry_after_ms / 1000.0)) {
-            response.headers_mut().insert(RETRY_AFTER, seconds);
-        }
-    }
+    advise_retry(&mut response, retry_after_ms);
     response
 }
 
+/// Adds the time in milliseconds after which the client should retry, unless it is 0.
+fn advise_retry(response: &mut ClientResponse, retry_after_ms: Millis) {
+    if retry_after_ms <= 0.0 {
+        return;
+    }
+    if let Ok(seconds) = HeaderValue::from_str(&format!("{:.3}", retry_after_ms / 1000.0)) {
+        response.headers_mut().insert(RETRY_AFTER, seconds);
+    }
+}
+
 /// Returns a response with a status and a body.
 fn with_body(status: StatusCode, body: Bytes) -> ClientResponse {
     let mut response = Response::new(Full::new(body));
--- a/limiter/src/observability/labels.rs
+++ b/limiter/src/observability/labels.rs
@@ -178,6 +178,16 @@
         Idle => "idle",
         /// The client had sent nothing yet, or only a part of the head of a request.
         IncompleteHead => "incomplete_head",
+        /// The client had sent the head of a request, and only a part of the body.
+        IncompleteBody => "incomplete_body",
+    }
+}
+
+label! {
+    /// Why a request was rejected without being submitted, although it was valid as far as it was read.
+    pub enum ShedReason("reason") {
+        /// The request was incomplete, and its connection was evicted in favour of another one.
+        Evicted => "evicted",
     }
 }
 
--- a/limiter/src/observability/metrics.rs
+++ b/limiter/src/observability/metrics.rs
@@ -10,7 +10,7 @@
 
 use super::labels::{
     AttemptOutcome, ClientCloseReason, EvictedState, InvalidRequestReason, Invariant, ResponseOutcome,
-    ServerConnectionOutcome, WatchEndReason,
+    ServerConnectionOutcome, ShedReason, WatchEndReason,
 };
 
 /// Prefix of the name of each counter.
@@ -25,6 +25,8 @@
     pub responses: Family<ResponseOutcome, Counter>,
     /// Requests that were rejected before they were submitted.
     pub invalid_requests: Family<InvalidRequestReason, Counter>,
+    /// Requests that were rejected before they were submitted, because client connections are scarce.
+    pub shed_requests: Family<ShedReason, Counter>,
     /// Attempts that have ended.
     pub attempts: Family<AttemptOutcome, Counter>,
     /// Connections to servers that attempts requested.
@@ -55,6 +57,7 @@
             requests: registry.add("requests", "Requests submitted"),
             responses: registry.add("responses", "Submitted requests that have ended"),
             invalid_requests: registry.add("invalid_requests", "Requests rejected before submission"),
+            shed_requests: registry.add("shed_requests", "Requests shed before submission"),
             attempts: registry.add("attempts", "Attempts ended"),
             server_connections: registry.add("server_connections", "Connections requested by attempts"),
             client_connections_accepted: registry.add("client_connections_accepted", "Accepted connections"),
--- a/limiter/src/observability/tests.rs
+++ b/limiter/src/observability/tests.rs
@@ -13,7 +13,7 @@
 
 use super::labels::{
     AttemptOutcome, ClientCloseReason, EvictedState, InvalidRequestReason, Invariant, ResponseOutcome,
-    ServerConnectionOutcome, WatchEndReason,
+    ServerConnectionOutcome, ShedReason, WatchEndReason,
 };
 use super::metrics::Metrics;
 use operations_page::{OperationsPage, PlaceInCode};
@@ -29,6 +29,7 @@
     let metrics = Metrics::new();
     count_once_per_label(&metrics.responses, ResponseOutcome::ALL);
     count_once_per_label(&metrics.invalid_requests, InvalidRequestReason::ALL);
+    count_once_per_label(&metrics.shed_requests, ShedReason::ALL);
     count_once_per_label(&metrics.attempts, AttemptOutcome::ALL);
     count_once_per_label(&metrics.server_connections, ServerConnectionOutcome::ALL);
     count_once_per_label(&metrics.client_connections_closed, ClientCloseReason::ALL);
--- /dev/null
+++ b/limiter/tests/client_connection_limit.rs
@@ -0,0 +1,84 @@
+//! The limit on client connections: a client that waits in the accept queue is answered in time, whatever the
+//! clients do that hold the open connections.
+
+mod stubs;
+
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use stubs::*;
+
+/// Number of descriptors in the configuration of each limiter.
+const DESCRIPTORS: u32 = 100;
+/// Number of clients that stall, several times the connections that the limiter accepts with [`DESCRIPTORS`].
+const NUM_STALLED_CLIENTS: usize = 400;
+/// Time in seconds that the client of a usual request waits.
+const TIME_LEFT_S: u64 = 10;
+/// Time after its timeout within which a request still has to be answered.
+const ANSWER_GRACE: Duration = Duration::from_millis(500);
+
+/// Returns an idempotent request whose client waits [`TIME_LEFT_S`].
+fn usual_request() -> String {
+    idempotent_request_with_id("usual").replace("Left: 3.0", &format!("Left: {TIME_LEFT_S}"))
+}
+
+/// Returns a request whose client stops within the body.
+fn request_stalled_in_body(id: usize) -> String {
+    request_with_key(&format!("stalled-{id}"), "hello").replace("hello", "he")
+}
+
+/// Starts a limiter with [`DESCRIPTORS`] descriptors in front of a server.
+fn start_limiter(server: &StubServer, alter: impl Fn(Configuration) -> Configuration) -> LimiterProcess {
+    LimiterProcess::with_server(server, |configuration| {
+        alter(configuration.with_max_descriptors(DESCRIPTORS))
+    })
+}
+
+/// Sends the usual request on a new connection, and asserts that its response arrives within the time of the
+/// client and [`ANSWER_GRACE`].
+fn assert_usual_request_is_answered_in_time(limiter: &LimiterProcess) -> HttpMessage {
+    let mut client = limiter.send(&usual_request());
+    let max_wait = Duration::from_secs(TIME_LEFT_S) + ANSWER_GRACE;
+    let sent_at = Instant::now();
+    client.set_read_timeout(Some(max_wait)).expect("a read timeout");
+    let response = read_message(&mut client).expect("a response in the time of the client");
+    assert!(sent_at.elapsed() <= max_wait, "the response took {:?}", sent_at.elapsed());
+    response
+}
+
+/// Opens connections until there are several times as many as the limiter accepts, and stops within the body of
+/// a request on each.
+fn stall_within_bodies(limiter: &LimiterProcess) -> Vec<TcpStream> {
+    (0..NUM_STALLED_CLIENTS).map(|id| limiter.send(&request_stalled_in_body(id))).collect()
+}
+
+/// Guards against a request that waits unread in the accept queue beyond its time, because clients that stop
+/// within a body hold all connections.
+#[test]
+fn clients_that_stall_within_a_body_do_not_keep_out_other_clients() {
+    let server = StubServer::responding_with("fine");
+    let limiter = start_limiter(&server, |configuration| configuration);
+    let stalled = stall_within_bodies(&limiter);
+    let response = assert_usual_request_is_answered_in_time(&limiter);
+    assert_eq!(response.status, 200);
+    assert_eq!(response.body, "fine");
+    drop(stalled);
+}
+
+/// Guards against a reset of a client that is evicted while it sends a body slowly. It gets a response after
+/// which it may send the request again, and nothing is forwarded.
+#[test]
+fn a_client_that_is_evicted_within_a_body_gets_a_response() {
+    let server = StubServer::responding_with("fine");
+    let limiter = start_limiter(&server, |configuration| {
+        configuration.replace(r#""MayTell":true"#, r#""MayTell":true,"RetryAfter":true"#)
+    });
+    let mut stalled = stall_within_bodies(&limiter);
+    let response = read_response(&mut stalled[0]);
+    assert_eq!(response.status, 503);
+    assert_eq!(response.header("connection").as_deref(), Some("close"));
+    let retry_after = response.header("retry-after").expect("advice on when to retry");
+    assert!(retry_after.parse::<f64>().is_ok_and(|seconds| seconds > 0.0), "{retry_after}");
+    assert_eq!(read_until_closed(&mut stalled[0], Instant::now()).received_text, "");
+    assert_eq!(server.num_received(), 0);
+}
