Reject a request at once when requests are open on all connections

What callers saw: a request on a new connection got no answer while requests were open on all client connections, however long these took. Its wait in the accept queue had no bound of its own.

Cause: no connection was accepted while the table was full of connections that may not be closed, so nothing could read the request to answer it. A request was never given up before it was read.

Change: of the connections that the limits allow, a twelfth is now for clients without a submitted request, beside the half for clients with one (256 descriptors: 120 and 20; before: 120 in all). When a request has arrived and more than the half are busy, it is rejected with 503, with Retry-After where the settings allow one, and its connection ends unless further requests have been read from it. The rule is `rules::may_submit`. The spare descriptors shrink from a sixth of the connections to a twelfth, at least four, which still cover the three that exceed the reserved ones; the memory of the spare connections is used up exactly (limits.rs has the arithmetic).

Evidence: `a_request_beyond_the_limit_is_answered_while_the_open_requests_wait` forces the order: 42 requests wait for a draining server (counted by `limiter_requests_total`), then one more is sent.

--- a/limiter-core/src/rules/client_connections.rs
+++ b/limiter-core/src/rules/client_connections.rs
@@ -49,7 +49,31 @@
     RejectRequest,
 }
 
+/// The facts about all client connections that decide whether a request may be submitted.
+#[derive(Debug, Clone, Copy)]
+pub struct SubmissionFacts {
+    /// Number of connections that are busy, see [`ClientConnectionFacts::is_busy`], including the connection
+    /// of the request.
+    pub busy_connections: usize,
+    /// Highest number of busy connections.
+    pub max_busy_connections: usize,
+}
+
+/// Returns whether a request that has arrived completely may be submitted. Any other request is rejected at
+/// once, because it would occupy a connection that other clients wait for.
+#[must_use]
+pub fn may_submit(facts: SubmissionFacts) -> bool {
+    facts.busy_connections <= facts.max_busy_connections
+}
+
 impl ClientConnectionFacts {
+    /// Returns whether a request has arrived completely and its response is not written completely. A busy
+    /// connection cannot be evicted.
+    #[must_use]
+    pub fn is_busy(&self) -> bool {
+        self.open_requests > u32::from(self.is_receiving_body)
+    }
+
     /// Returns whether the client has not read a response within [`WRITE_TIMEOUT_MS`].
     fn has_write_timed_out(&self) -> bool {
         self.unwritten_for_ms.is_some_and(|unwritten_ms| unwritten_ms > WRITE_TIMEOUT_MS)
--- a/limiter-core/src/rules/mod.rs
+++ b/limiter-core/src/rules/mod.rs
@@ -5,7 +5,7 @@
 //!
 //! - `attempts.rs`: whether a request may be attempted, executed again, or written to a server;
 //! - `client_connections.rs`: whether the connection of a client may be closed or evicted, is overdue, or
-//!   blocks the shutdown;
+//!   blocks the shutdown, and whether another request may be submitted;
 //! - `server_connections.rs`: whether an idle connection to a server may carry another request;
 //! - `shutdown.rs`: whether the process may exit.
 //!
@@ -25,6 +25,8 @@
 pub use attempts::{
     may_attempt, may_execute, may_send, AttemptDenied, AttemptFacts, ExecutionFacts, SendFacts,
 };
-pub use client_connections::{ClientConnectionFacts, Eviction, INCOMPLETE_REQUEST_TIMEOUT_MS};
+pub use client_connections::{
+    may_submit, ClientConnectionFacts, Eviction, SubmissionFacts, INCOMPLETE_REQUEST_TIMEOUT_MS,
+};
 pub use server_connections::ServerConnectionFacts;
 pub use shutdown::{may_exit, ShutdownFacts};
--- a/limiter-core/tests/rules.rs
+++ b/limiter-core/tests/rules.rs
@@ -36,6 +36,18 @@
     assert_eq!(behind_an_unwritten_response.eviction(), None);
 }
 
+/// A request that cannot be submitted must be rejected, because no other client can use its connection before.
+#[test]
+fn a_request_is_submitted_while_few_connections_are_busy() {
+    let submission = |busy_connections| SubmissionFacts { busy_connections, max_busy_connections: 42 };
+    assert!(may_submit(submission(42)));
+    assert!(!may_submit(submission(43)));
+    let in_body = ClientConnectionFacts { open_requests: 1, is_receiving_body: true, ..IDLE };
+    assert!(!IDLE.is_busy() && !in_body.is_busy());
+    assert!(ClientConnectionFacts { is_receiving_body: false, ..in_body }.is_busy());
+    assert!(ClientConnectionFacts { open_requests: 2, ..in_body }.is_busy());
+}
+
 #[test]
 fn an_idle_connection_may_be_evicted_50_ms_after_its_response() {
     assert_eq!(ClientConnectionFacts { idle_ms: 40.0, ..IDLE }.eviction(), None);
--- a/limiter/src/config/limits.rs
+++ b/limiter/src/config/limits.rs
@@ -10,20 +10,27 @@
 /// signals (a receiver, and a sender for each of the four signals), the listener and the gossip socket. At
 /// most six more are open temporarily: the watches on the old and the new discovery with a slow request each,
 /// the configuration file during a reload, and a client that is being accepted. Three of these nineteen
-/// exceed the reserved number. The sixth of the connections that stays spare, at least eight, covers these
+/// exceed the reserved number. The twelfth of the connections that stays spare, at least four, covers these
 /// three.
 const RESERVED_DESCRIPTORS: usize = 16;
-/// Lowest number of connections that the platform's limits must allow. Of 48 connections, 24 are for clients,
-/// 16 for servers, and 8 are spare.
+/// Lowest number of connections that the platform's limits must allow. Of 48 connections, 24 are for clients
+/// with an open request, 4 for other clients, 16 for servers, and 4 are spare.
 pub const MIN_CONNECTIONS: usize = 48;
-/// Divisor of the connections for the share of clients, a half. With [`SERVER_DIVISOR`], a sixth stays spare.
-const CLIENT_DIVISOR: usize = 2;
-/// Divisor of the connections for the share of servers, a third.
+/// Divisor of the connections for the share of clients with an open request, a half.
+const BUSY_CLIENT_DIVISOR: usize = 2;
+/// Divisor of the connections for the share of further clients, a twelfth. Such a connection either has no
+/// complete request and may be evicted soon, or its request is rejected at once. The accept queue therefore
+/// moves on although requests are open on all other connections.
+const OTHER_CLIENT_DIVISOR: usize = 12;
+/// Divisor of the connections for the share of servers, a third. With the shares of clients, a twelfth stays
+/// spare.
 const SERVER_DIVISOR: usize = 3;
 
 /// Divisor of the memory for the bytes that are read ahead beyond the amount that each client connection may
-/// always hold. A buffer may allocate twice its content, so these bytes take up to an eighth of the memory,
-/// less than the sixth that the spare connections leave.
+/// always hold. A buffer may allocate twice its content, so these bytes take up to an eighth of the memory. A
+/// connection without a submitted request holds no response and needs half of [`CONNECTION_MB`], so those of
+/// [`OTHER_CLIENT_DIVISOR`] take up to a twenty-fourth. Together, this is the sixth of the memory that busy
+/// clients and servers leave.
 const READ_AHEAD_DIVISOR: f64 = 16.0;
 /// Bytes in a megabyte, as the platform counts memory.
 const BYTES_PER_MB: f64 = 1e6;
@@ -33,6 +40,8 @@
 pub struct ConnectionLimits {
     /// Highest number of client connections.
     pub clients: usize,
+    /// Highest number of client connections with a request that was submitted.
+    pub busy_clients: usize,
     /// Highest number of connections to servers, including idle ones.
     pub servers: usize,
     /// Highest number of bytes that are read ahead for all clients together, beyond the amount that each
@@ -59,8 +68,10 @@
         if available < MIN_CONNECTIONS {
             return Err(TooFewConnections { available });
         }
+        let busy_clients = available / BUSY_CLIENT_DIVISOR;
         Ok(ConnectionLimits {
-            clients: available / CLIENT_DIVISOR,
+            clients: busy_clients + available / OTHER_CLIENT_DIVISOR,
+            busy_clients,
             servers: available / SERVER_DIVISOR,
             read_ahead_bytes: (platform.memory_mb * BYTES_PER_MB / READ_AHEAD_DIVISOR) as usize,
         })
--- a/limiter/src/config/mod.rs
+++ b/limiter/src/config/mod.rs
@@ -57,6 +57,9 @@
     pub seed: u64,
     /// Highest number of open client connections.
     pub max_client_connections: usize,
+    /// Highest number of client connections with a request that was submitted and whose response is not
+    /// written.
+    pub max_busy_client_connections: usize,
     /// Highest number of open connections to servers.
     pub max_server_connections: usize,
     /// Highest number of bytes that are read ahead for all clients together, beyond the amount that each
@@ -135,6 +138,7 @@
             discovery,
             seed,
             max_client_connections: connections.clients,
+            max_busy_client_connections: connections.busy_clients,
             max_server_connections: connections.servers,
             max_read_ahead_bytes: connections.read_ahead_bytes,
             peer_listen: file.peer_listen,
--- a/limiter/src/frontend/connections.rs
+++ b/limiter/src/frontend/connections.rs
@@ -55,6 +55,14 @@
         self.by_id.borrow().len()
     }
 
+    /// Returns the number of connections with a request that has been read and not been answered completely.
+    pub(super) fn num_busy(&self) -> usize {
+        let now = Instant::now();
+        let is_shutting_down = self.is_shutting_down();
+        let by_id = self.by_id.borrow();
+        by_id.values().filter(|state| state.facts_at(now, is_shutting_down).is_busy()).count()
+    }
+
     /// Adds a connection that has just been accepted. Dropping the returned guard removes the connection.
     pub(super) fn add(self: &Rc<Self>) -> OpenConnection {
         let id = self.last_id.get() + 1;
--- a/limiter/src/frontend/request/handler.rs
+++ b/limiter/src/frontend/request/handler.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
-use limiter_core::rules::{Eviction, INCOMPLETE_REQUEST_TIMEOUT_MS};
+use limiter_core::rules::{may_submit, Eviction, SubmissionFacts, INCOMPLETE_REQUEST_TIMEOUT_MS};
 use limiter_core::Millis;
 use tokio::time::{sleep_until, Instant};
 
@@ -89,13 +89,18 @@
         self.state.record_head_received();
         let mut response = self.respond(request).await;
         if self.is_last_response() {
-            response::close_connection(&mut response);
-            self.state.record_last_response();
+            self.end_connection_with(&mut response);
         }
         self.state.record_response_ready();
         response
     }
 
+    /// Makes a response the last one of its connection.
+    fn end_connection_with(&self, response: &mut ClientResponse) {
+        response::close_connection(response);
+        self.state.record_last_response();
+    }
+
     /// Returns whether the connection has to end with the response to the current request. During the
     /// shutdown, requests that were pipelined after this one are answered first. After an overflow of the
     /// read-ahead buffer, bytes that follow this request have been dropped.
@@ -136,11 +141,16 @@
         response::invalid_request(status, error.to_string())
     }
 
-    /// Counts and logs a request that was shed, and returns its response.
+    /// Counts and logs a request that was shed, and returns its response. The connection is needed for another
+    /// client and ends with the response, unless further requests have been read from it.
     fn shed(&self, reason: ShedReason, retry_after_ms: Millis) -> ClientResponse {
         tracing::debug!(%reason, "request shed");
         Metrics::count(&self.engine.metrics().shed_requests, reason);
-        response::overloaded(retry_after_ms)
+        let mut response = response::overloaded(retry_after_ms);
+        if !self.client.has_pipelined_bytes() {
+            self.end_connection_with(&mut response);
+        }
+        response
     }
 
     /// Receives and validates a request that began to arrive at `started_at`, and submits it.
@@ -161,6 +171,7 @@
         if parts.method == Method::GET && !body.is_empty() {
             return Err(RequestBodyError::UnexpectedWithGet.into());
         }
+        self.check_connection_limit(&head.request)?;
         let forwarded = ForwardedRequest {
             method: parts.method,
             target: head.target,
@@ -187,14 +198,32 @@
         tokio::select! {
             biased;
             body = read_body(body) => Ok(body?),
-            () = self.evicted() => Err(RequestError::Shed {
-                reason: ShedReason::Evicted,
-                retry_after_ms: self.engine.retry_after_ms(request),
-            }),
+            () = self.evicted() => Err(self.shed_error(ShedReason::Evicted, request)),
             () = sleep_until(started_at + INCOMPLETE_REQUEST_TIMEOUT) => Err(RequestBodyError::TimedOut.into()),
         }
     }
 
+    /// Checks that not too many connections have a request that was submitted.
+    ///
+    /// # Errors
+    /// [`RequestError::Shed`] if the request must not be submitted.
+    fn check_connection_limit(&self, request: &limiter_core::Request) -> Result<(), RequestError> {
+        let max_busy_connections = self.engine.config().max_busy_client_connections;
+        if self.connections.len() <= max_busy_connections {
+            return Ok(());
+        }
+        let busy_connections = self.connections.num_busy();
+        if may_submit(SubmissionFacts { busy_connections, max_busy_connections }) {
+            return Ok(());
+        }
+        Err(self.shed_error(ShedReason::ConnectionLimit, request))
+    }
+
+    /// Returns the error of a request that is shed.
+    fn shed_error(&self, reason: ShedReason, request: &limiter_core::Request) -> RequestError {
+        RequestError::Shed { reason, retry_after_ms: self.engine.retry_after_ms(request) }
+    }
+
     /// Completes when the open request, whose body is incomplete, has to be rejected in favour of another
     /// connection.
     async fn evicted(&self) {
--- a/limiter/src/frontend/response.rs
+++ b/limiter/src/frontend/response.rs
@@ -34,12 +34,10 @@
 }
 
 /// Returns the response to a valid request that was not submitted, because client connections are scarce, with
-/// advice on when to retry if there is any. The body of the request may be unread, so the response ends the
-/// connection.
+/// advice on when to retry if there is any.
 pub(super) fn overloaded(retry_after_ms: Millis) -> ClientResponse {
     let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
     advise_retry(&mut response, retry_after_ms);
-    close_connection(&mut response);
     response
 }
 
--- a/limiter/src/observability/labels.rs
+++ b/limiter/src/observability/labels.rs
@@ -188,6 +188,8 @@
     pub enum ShedReason("reason") {
         /// The request was incomplete, and its connection was evicted in favour of another one.
         Evicted => "evicted",
+        /// Too many connections have an open request.
+        ConnectionLimit => "connection_limit",
     }
 }
 
--- a/limiter/tests/client_connection_limit.rs
+++ b/limiter/tests/client_connection_limit.rs
@@ -12,6 +12,9 @@
 const DESCRIPTORS: u32 = 100;
 /// Number of clients that stall, several times the connections that the limiter accepts with [`DESCRIPTORS`].
 const NUM_STALLED_CLIENTS: usize = 400;
+/// Highest number of requests that the limiter accepts and has not answered, with [`DESCRIPTORS`]: half of the
+/// descriptors that are not reserved.
+const MAX_OPEN_REQUESTS: usize = 42;
 /// Time in seconds that the client of a usual request waits.
 const TIME_LEFT_S: u64 = 10;
 /// Time after its timeout within which a request still has to be answered.
@@ -82,3 +85,29 @@
     assert_eq!(read_until_closed(&mut stalled[0], Instant::now()).received_text, "");
     assert_eq!(server.num_received(), 0);
 }
+
+/// Guards against a request that waits unread in the accept queue beyond its time, because every connection has
+/// an open request that waits for a server.
+#[test]
+fn a_request_beyond_the_limit_is_answered_while_the_open_requests_wait() {
+    let server = StubServer::responding_with("fine");
+    let limiter = start_limiter(&server, Configuration::with_long_latency_objective);
+    limiter.discovery.send(&list_change(2, &[draining_at("s-1", server.addr)]));
+    limiter.wait_until_logged("state=draining");
+    let mut queued: Vec<TcpStream> = (0..MAX_OPEN_REQUESTS)
+        .map(|id| limiter.send(&request_with_long_timeout(&format!("queued-{id}"))))
+        .collect();
+    wait_for("the requests to be submitted", || {
+        limiter.signal("USR1");
+        limiter.has_logged(&format!("limiter_requests_total value={MAX_OPEN_REQUESTS}"))
+    });
+    assert_eq!(assert_usual_request_is_answered_in_time(&limiter).status, 503);
+    limiter.discovery.send(&list_change(3, &[serving("s-1", &server)]));
+    for client in &mut queued {
+        // All are forwarded at once, and there are fewer connections to servers than requests.
+        let status = read_response(client).status;
+        assert!([200, 429].contains(&status), "status {status}");
+    }
+    assert_eq!(server.num_received_with_id("usual"), 0);
+    assert_eq!(limiter.request(&usual_request()).status, 200, "there must be capacity again");
+}
