Drain the accept queue at the shutdown within the limit of connections

What operators saw: more open descriptors than the configuration allows while the listener closed. With 256 descriptors, 300 clients that stop within a body and SIGTERM, 253 were open without any to servers, and 293 since further connections are accepted to reject their requests.

Cause: at the close, everything in the accept queue was accepted beyond the limit of connections, up to the limit once more, because nothing could be evicted then.

Change: the queue is drained within the limit. While it is reached, connections are evicted as at any other time, for 0.5 s at most and not beyond the response time. Clients that keep connecting can no longer fill the queue for longer; what is left then is logged, as before with failing accepts.

--- a/limiter/src/frontend/acceptor.rs
+++ b/limiter/src/frontend/acceptor.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::Instant;
+use tokio::time::{timeout, Instant};
 
 use super::connection;
 use super::connections::Connections;
@@ -19,10 +19,26 @@
 /// Largest number of failed accepts that are retried while the accept queue is drained during the shutdown.
 /// The queue is abandoned at the next failure. With [`ACCEPT_RETRY_DELAY`], the retries take one second.
 const MAX_SHUTDOWN_ACCEPT_RETRIES: u32 = 100;
+/// Longest time for which the accept queue is drained during the shutdown. Twice the time after which a
+/// connection with an incomplete request may be evicted, and the delays until that is noticed.
+const MAX_SHUTDOWN_DRAIN_TIME: Duration = Duration::from_millis(500);
+/// Delay before the next search for a connection that may be evicted, if none has closed before.
+const EVICTION_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// Longest time that a connection is assumed to have waited in the accept queue. While connections keep
 /// arriving, the queue is never observed to be empty, and how long the newest connection waited is unknown.
 const MAX_QUEUE_WAIT: Duration = Duration::from_secs(1);
 
+/// Why the accept queue was not drained when the listener was closed.
+#[derive(Debug, thiserror::Error)]
+enum DrainError {
+    /// This host cannot accept connections.
+    #[error("{0}")]
+    Accept(#[source] io::Error),
+    /// The limit of client connections has been reached, and none of them could be evicted in time.
+    #[error("too many connections")]
+    TooManyConnections,
+}
+
 /// Accepts connections until the listener is closed, and serves each of them in a separate task.
 pub(super) struct Acceptor {
     engine: Rc<Engine>,
@@ -112,25 +128,53 @@
     }
 
     /// Serves the connections in the accept queue, whose clients may already have sent requests, and closes
-    /// the listener. Must be awaited to the end: cancelling closes the listener and resets the connections
-    /// that are still in the queue.
-    pub(super) async fn close(&mut self) {
+    /// the listener. Accepts no more connections than at any other time, and waits until others have been
+    /// evicted, but not beyond [`MAX_SHUTDOWN_DRAIN_TIME`] or `deadline`. Clients that keep connecting
+    /// therefore do not prolong the shutdown.
+    ///
+    /// Must be awaited to the end: cancelling closes the listener and resets the connections that are still in
+    /// the queue.
+    pub(super) async fn close(&mut self, deadline: Instant) {
         let Some(listener) = self.listener.take() else { return };
+        let deadline = deadline.min(Instant::now() + MAX_SHUTDOWN_DRAIN_TIME);
+        if let Err(error) = self.drain(&listener, deadline).await {
+            tracing::error!(%error, "accept queue abandoned");
+        }
+    }
+
+    /// Serves the connections in the accept queue until the queue is empty.
+    ///
+    /// # Errors
+    /// [`DrainError`] if connections may be left in the queue.
+    async fn drain(&mut self, listener: &Listener, deadline: Instant) -> Result<(), DrainError> {
         let mut retries = 0;
-        // The number of accepts is bounded, so that clients that keep connecting do not prolong the shutdown.
-        for _ in 0..self.engine.config().max_client_connections {
+        loop {
+            self.wait_for_capacity(deadline).await?;
             match listener.try_accept() {
                 Ok(Some(stream)) => self.serve(stream),
-                Ok(None) => return,
+                Ok(None) => return Ok(()),
                 Err(error) if retries < MAX_SHUTDOWN_ACCEPT_RETRIES => {
                     retries += 1;
                     self.wait_for_resources(&error).await;
                 }
-                Err(error) => {
-                    tracing::error!(%error, "accept queue abandoned");
-                    return;
-                }
+                Err(error) => return Err(DrainError::Accept(error)),
+            }
+        }
+    }
+
+    /// Evicts connections until another one may be opened.
+    ///
+    /// # Errors
+    /// [`DrainError::TooManyConnections`] if none may be opened by `deadline`.
+    async fn wait_for_capacity(&self, deadline: Instant) -> Result<(), DrainError> {
+        while !self.has_capacity() {
+            if Instant::now() >= deadline {
+                return Err(DrainError::TooManyConnections);
             }
+            self.evict_for_next_accept();
+            // Time alone may make a connection evictable.
+            let _ = timeout(EVICTION_RETRY_DELAY, self.connections.closed()).await;
         }
+        Ok(())
     }
 }
--- a/limiter/src/frontend/server.rs
+++ b/limiter/src/frontend/server.rs
@@ -30,6 +30,7 @@
     let connections = Rc::new(Connections::new(engine.config().max_read_ahead_bytes));
     tokio::task::spawn_local(connections.clone().sweep());
     let mut acceptor = Acceptor::new(engine.clone(), connections.clone(), listener);
+    let respond_after_signal = duration::from_ms(engine.config().shutdown_response_ms);
     let serve_after_signal = duration::from_ms(engine.config().shutdown_accept_ms);
     let mut shutdown: Option<Shutdown> = None;
     tokio::pin!(shutdown_requested);
@@ -49,7 +50,7 @@
             accepted = acceptor.accept(), if has_capacity => acceptor.handle_accepted(accepted).await,
             signal = &mut shutdown_requested, if shutdown.is_none() => {
                 tracing::info!(%signal, "shutdown started");
-                shutdown = Some(Shutdown::begin(serve_after_signal));
+                shutdown = Some(Shutdown::begin(serve_after_signal, respond_after_signal));
                 engine.start_shutdown();
             }
             () = connections.closed() => {}
--- a/limiter/src/frontend/shutdown.rs
+++ b/limiter/src/frontend/shutdown.rs
@@ -40,13 +40,23 @@
     signalled_at: Instant,
     /// How long after the signal all requests are still served as before.
     serve_for: Duration,
+    /// When all accepted requests have received their final response.
+    respond_by: Instant,
     next_step: NextStep,
 }
 
 impl Shutdown {
     /// Begins a shutdown whose signal has just arrived.
-    pub(super) fn begin(serve_for: Duration) -> Shutdown {
-        Shutdown { signalled_at: Instant::now(), serve_for, next_step: NextStep::ShutDownConnections }
+    /// Requests are served as before for `serve_for`, and all of them have received their final response after
+    /// `respond_within`.
+    pub(super) fn begin(serve_for: Duration, respond_within: Duration) -> Shutdown {
+        let signalled_at = Instant::now();
+        Shutdown {
+            signalled_at,
+            serve_for,
+            respond_by: signalled_at + respond_within,
+            next_step: NextStep::ShutDownConnections,
+        }
     }
 
     /// Takes the steps that are due. Returns whether the server has to return: if the rules allow the exit,
@@ -93,7 +103,7 @@
     async fn close_listener_if_due(&mut self, acceptor: &mut Acceptor) {
         let NextStep::CloseListener { shut_down_at } = self.next_step else { return };
         if shut_down_at.elapsed() >= RESEND_GRACE_PERIOD {
-            acceptor.close().await;
+            acceptor.close(self.respond_by).await;
             self.next_step = NextStep::Return { closed_at: Instant::now() };
         }
     }
--- a/limiter/tests/client_connection_limit.rs
+++ b/limiter/tests/client_connection_limit.rs
@@ -3,7 +3,10 @@
 
 mod stubs;
 
-use std::net::TcpStream;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use stubs::*;
@@ -111,3 +114,62 @@
     assert_eq!(server.num_received_with_id("usual"), 0);
     assert_eq!(limiter.request(&usual_request()).status, 200, "there must be capacity again");
 }
+
+/// Clients that stop within the body of a request, and do the same on a new connection when the limiter ends the
+/// old one. Dropping the value ends them.
+struct PersistentStalledClients {
+    is_ended: Arc<AtomicBool>,
+}
+
+impl PersistentStalledClients {
+    /// Number of clients: with [`DESCRIPTORS`], two thirds of them wait in the accept queue.
+    const NUM_CLIENTS: usize = 150;
+
+    /// Starts the clients, each in a thread of its own.
+    fn start(limiter: &LimiterProcess) -> PersistentStalledClients {
+        let is_ended = Arc::new(AtomicBool::new(false));
+        for id in 0..PersistentStalledClients::NUM_CLIENTS {
+            let addr = limiter.addr;
+            let is_ended = is_ended.clone();
+            std::thread::spawn(move || stall_until_ended(addr, &request_stalled_in_body(id), &is_ended));
+        }
+        PersistentStalledClients { is_ended }
+    }
+}
+
+impl Drop for PersistentStalledClients {
+    fn drop(&mut self) {
+        self.is_ended.store(true, Ordering::SeqCst);
+    }
+}
+
+/// Sends an incomplete request on one connection after another, until the listener or the clients end.
+fn stall_until_ended(addr: SocketAddr, incomplete_request: &str, is_ended: &AtomicBool) {
+    while !is_ended.load(Ordering::SeqCst) {
+        let Ok(mut client) = TcpStream::connect(addr) else { return };
+        if client.write_all(incomplete_request.as_bytes()).is_ok() {
+            read_until_closed(&mut client, Instant::now());
+        }
+    }
+}
+
+/// Guards against more open descriptors than the configuration allows, when clients wait in the accept queue
+/// while the listener is closed.
+#[test]
+fn the_descriptors_stay_within_the_limit_when_the_accept_queue_is_full_at_the_shutdown() {
+    let server = StubServer::responding_with("fine");
+    let mut limiter = start_limiter(&server, |configuration| configuration);
+    let clients = PersistentStalledClients::start(&limiter);
+    wait_for("clients to be evicted", || {
+        limiter.signal("USR1");
+        limiter.has_logged(r#"limiter_shed_requests_total{reason="evicted"}"#)
+    });
+    limiter.signal("TERM");
+    let mut max_open_descriptors = 0;
+    while limiter.is_running() {
+        max_open_descriptors = max_open_descriptors.max(limiter.num_open_descriptors());
+    }
+    assert!(max_open_descriptors <= DESCRIPTORS as usize, "{max_open_descriptors} descriptors were open");
+    assert_eq!(limiter.wait_for_exit_code(), Some(0));
+    drop(clients);
+}
--- a/limiter/tests/stubs/limiter_process.rs
+++ b/limiter/tests/stubs/limiter_process.rs
@@ -152,6 +152,20 @@
         wait_for(text, || self.has_logged(text));
     }
 
+    /// Returns whether the process has not exited.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the state of the process cannot be read.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().expect("a child process").is_none()
+    }
+
+    /// Returns the number of descriptors that the process has open; 0 if the process has exited.
+    pub fn num_open_descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
+    }
+
     /// Returns the peak resident memory of the process so far, in KiB.
     ///
     /// # Panics
