--- a/limiter/tests/client_connection_limit.rs
+++ b/limiter/tests/client_connection_limit.rs
@@ -89,30 +89,62 @@
     assert_eq!(server.num_received(), 0);
 }
 
+/// A limiter whose server drains, and clients whose requests wait for another server. No further request may be
+/// submitted.
+struct FullLimiter {
+    server: StubServer,
+    limiter: LimiterProcess,
+    waiting_clients: Vec<TcpStream>,
+}
+
+impl FullLimiter {
+    /// Starts a limiter, and returns when [`MAX_OPEN_REQUESTS`] requests have been submitted.
+    fn start() -> FullLimiter {
+        let server = StubServer::responding_with("fine");
+        let limiter = start_limiter(&server, Configuration::with_long_latency_objective);
+        limiter.discovery.send(&list_change(2, &[draining_at("s-1", server.addr)]));
+        limiter.wait_until_logged("state=draining");
+        let waiting_clients = (0..MAX_OPEN_REQUESTS)
+            .map(|id| limiter.send(&request_with_long_timeout(&format!("waiting-{id}"))))
+            .collect();
+        wait_for("the requests to be submitted", || {
+            limiter.signal("USR1");
+            limiter.has_logged(&format!("limiter_requests_total value={MAX_OPEN_REQUESTS}"))
+        });
+        FullLimiter { server, limiter, waiting_clients }
+    }
+
+    /// Announces that the server serves again, and returns when each of the waiting clients has a response.
+    fn finish_waiting_requests(&mut self) {
+        self.limiter.discovery.send(&list_change(3, &[serving("s-1", &self.server)]));
+        for client in &mut self.waiting_clients {
+            // All are forwarded at once, and there are fewer connections to servers than requests.
+            let status = read_response(client).status;
+            assert!([200, 429].contains(&status), "status {status}");
+        }
+    }
+}
+
 /// Guards against a request that waits unread in the accept queue beyond its time, because every connection has
 /// an open request that waits for a server.
 #[test]
 fn a_request_beyond_the_limit_is_answered_while_the_open_requests_wait() {
-    let server = StubServer::responding_with("fine");
-    let limiter = start_limiter(&server, Configuration::with_long_latency_objective);
-    limiter.discovery.send(&list_change(2, &[draining_at("s-1", server.addr)]));
-    limiter.wait_until_logged("state=draining");
-    let mut queued: Vec<TcpStream> = (0..MAX_OPEN_REQUESTS)
-        .map(|id| limiter.send(&request_with_long_timeout(&format!("queued-{id}"))))
-        .collect();
-    wait_for("the requests to be submitted", || {
-        limiter.signal("USR1");
-        limiter.has_logged(&format!("limiter_requests_total value={MAX_OPEN_REQUESTS}"))
-    });
-    assert_eq!(assert_usual_request_is_answered_in_time(&limiter).status, 503);
-    limiter.discovery.send(&list_change(3, &[serving("s-1", &server)]));
-    for client in &mut queued {
-        // All are forwarded at once, and there are fewer connections to servers than requests.
-        let status = read_response(client).status;
-        assert!([200, 429].contains(&status), "status {status}");
-    }
-    assert_eq!(server.num_received_with_id("usual"), 0);
-    assert_eq!(limiter.request(&usual_request()).status, 200, "there must be capacity again");
+    let mut full = FullLimiter::start();
+    assert_eq!(assert_usual_request_is_answered_in_time(&full.limiter).status, 503);
+    full.finish_waiting_requests();
+    assert_eq!(full.server.num_received_with_id("usual"), 0);
+    assert_eq!(full.limiter.request(&usual_request()).status, 200, "there must be capacity again");
+}
+
+/// Guards against a connection that is closed with the first 503, although another request has arrived on it and
+/// was not read.
+#[test]
+fn all_pipelined_requests_beyond_the_limit_are_answered() {
+    let full = FullLimiter::start();
+    let requests = pad_to_one_read(&usual_request()) + &request_with_long_timeout("second");
+    let mut client = full.limiter.send(&requests);
+    assert_eq!(read_response(&mut client).status, 503);
+    assert_eq!(read_response(&mut client).status, 503);
 }
 
 /// Clients that stop within the body of a request, and do the same on a new connection when the limiter ends the
--- a/limiter/tests/shutdown_races.rs
+++ b/limiter/tests/shutdown_races.rs
@@ -118,6 +118,31 @@
     }
 }
 
+/// Two pipelined requests wait to be accepted while the process stalls. The first one is rejected at once, and
+/// the limiter has not read the second one by then. Guards against a response that ends its connection although
+/// another request has arrived.
+#[test]
+fn pipelined_requests_are_answered_during_shutdown_if_the_first_is_rejected_at_once() {
+    for _ in 0..3 {
+        let server = StubServer::responding_with("fine");
+        let mut limiter = LimiterProcess::with_server(&server, |configuration| {
+            configuration.with_long_latency_objective().with_rejecting_plan()
+        });
+        let idle_client = idle_connection(&limiter, "idle");
+        limiter.signal("TERM");
+        limiter.wait_until_logged("shutdown started");
+        let rejected = |id| request_with_long_timeout(id).replace("basic", "refused");
+        let requests = pad_to_one_read(&rejected("first")) + &rejected("second");
+        let client = stall(&limiter, || is_open(&idle_client).then(|| limiter.send(&requests)));
+        let Some(mut client) = client else { continue };
+        for id in ["first", "second"] {
+            let head = response_head(&mut client).unwrap_or_default();
+            assert!(head.starts_with("HTTP/1.1 429"), "{id}: {head:?}");
+        }
+        assert_eq!(limiter.wait_for_exit_code(), Some(0));
+    }
+}
+
 /// Connections nearly fill the accept queue (120 of 128) when the shutdown closes the listener. Guards
 /// against closing the listener while its queue has connections of which the event loop has not been notified
 /// yet, and against an exit before the requests on the connections that were accepted last have been read.
--- a/limiter/tests/stubs/client.rs
+++ b/limiter/tests/stubs/client.rs
@@ -56,6 +56,21 @@
     head.replace(DEFAULT_CORRELATION_ID, &format!("c-{key}")) + body
 }
 
+/// Adds a header to a request, so that the request is exactly as long as the first read of the limiter on a new
+/// connection. Nothing of a request that follows is read together with it.
+///
+/// # Panics
+///
+/// Panics if the request is longer than that.
+pub fn pad_to_one_read(request: &str) -> String {
+    const FIRST_READ_BYTES: usize = 8192;
+    const NEXT_HEADER: &str = "X-Tariff";
+    let padding_header = |padding: &str| format!("X-Padding: {padding}\r\n{NEXT_HEADER}");
+    let with_header = |padding: &str| request.replace(NEXT_HEADER, &padding_header(padding));
+    let missing = FIRST_READ_BYTES.checked_sub(with_header("").len()).expect("a short request");
+    with_header(&"x".repeat(missing))
+}
+
 /// Reads one response from a connection and returns when the response is complete.
 ///
 /// # Panics
