Bound the connections that are accepted while the listener closes

Clients that are answered and connect again at once could keep the loop going.

After the deadline, only as many connections are accepted as fit into an empty table. The eviction search returns its choice without a tuple.

--- a/limiter/src/frontend/acceptor.rs
+++ b/limiter/src/frontend/acceptor.rs
@@ -142,16 +142,25 @@
         }
     }
 
-    /// Serves the connections in the accept queue until the queue is empty.
+    /// Serves the connections in the accept queue until the queue is empty. After the deadline, only as many are
+    /// accepted as fit into an empty table, without waiting for capacity.
     ///
     /// # Errors
     /// [`DrainError`] if connections may be left in the queue.
     async fn drain(&mut self, listener: &Listener, deadline: Instant) -> Result<(), DrainError> {
         let mut retries = 0;
+        let mut num_accepted = 0;
         loop {
             self.wait_for_capacity(deadline).await?;
+            let is_table_used_up = num_accepted >= self.engine.config().max_client_connections;
+            if is_table_used_up && Instant::now() >= deadline {
+                return Err(DrainError::TooManyConnections);
+            }
             match listener.try_accept() {
-                Ok(Some(stream)) => self.serve(stream),
+                Ok(Some(stream)) => {
+                    num_accepted += 1;
+                    self.serve(stream);
+                }
                 Ok(None) => return Ok(()),
                 Err(error) if retries < MAX_SHUTDOWN_ACCEPT_RETRIES => {
                     retries += 1;
--- a/limiter/src/frontend/connections.rs
+++ b/limiter/src/frontend/connections.rs
@@ -112,12 +112,10 @@
         let is_shutting_down = self.is_shutting_down();
         let now = Instant::now();
         let by_id = self.by_id.borrow();
-        let evictable = by_id.values().filter_map(|state| {
-            let eviction = state.facts_at(now, is_shutting_down).eviction()?;
-            Some((state, eviction))
-        });
-        let (state, eviction) = evictable.min_by_key(|(state, _)| state.eviction_rank())?;
-        Some(state.evict(eviction))
+        let eviction = |state: &ConnectionState| state.facts_at(now, is_shutting_down).eviction();
+        let evictable = by_id.values().filter(|state| eviction(state).is_some());
+        let state = evictable.min_by_key(|state| state.eviction_rank())?;
+        Some(state.evict(eviction(state)?))
     }
 
     /// Begins the graceful shutdown of all connections. The task of a connection does one of three things:
--- a/limiter/tests/shutdown_races.rs
+++ b/limiter/tests/shutdown_races.rs
@@ -118,6 +118,39 @@
     }
 }
 
+/// Sends one request after another, each on a new connection, until the listener is closed.
+fn reconnect_until_refused(address: SocketAddr, client_number: usize) {
+    let mut num_sent = 0;
+    while let Some(mut client) = try_send(address, &format!("{client_number}-{num_sent}")) {
+        // The listener may close while the connection waits to be accepted.
+        let _ = response_head(&mut client);
+        num_sent += 1;
+    }
+}
+
+/// More clients than the limiter accepts connect again as soon as they are answered. Guards against a shutdown
+/// that they prolong without limit, because the accept queue is never empty.
+#[test]
+fn clients_that_keep_connecting_do_not_prolong_the_shutdown() {
+    const DESCRIPTORS: u32 = 100;
+    const NUM_CLIENTS: usize = 100;
+    let server = StubServer::responding_with("fine");
+    let mut limiter = LimiterProcess::with_server(&server, |configuration| {
+        configuration.with_long_latency_objective().with_max_descriptors(DESCRIPTORS)
+    });
+    let address = limiter.addr;
+    let mut client_threads = Vec::new();
+    for client_number in 0..NUM_CLIENTS {
+        client_threads.push(std::thread::spawn(move || reconnect_until_refused(address, client_number)));
+    }
+    wait_for("traffic", || server.num_received() > NUM_CLIENTS);
+    limiter.signal("TERM");
+    assert_eq!(limiter.wait_for_exit_code(), Some(0));
+    for client_thread in client_threads {
+        client_thread.join().expect("a client that is answered or refused");
+    }
+}
+
 /// Two pipelined requests wait to be accepted while the process stalls. The first one is rejected at once, and
 /// the limiter has not read the second one by then. Guards against a response that ends its connection although
 /// another request has arrived.
