--- a/limiter-core/src/request/final_response.rs
+++ b/limiter-core/src/request/final_response.rs
@@ -27,9 +27,9 @@
         Action::Reject { id: request.id, retry_after_ms: self.retry_after_ms(request) }
     }
 
-    /// Returns the time in milliseconds after which the client of a rejected request should retry: the time in
-    /// which its rate quota refills by the cost of the request or, without a rate quota, the longest time for
-    /// which the request would have been queued. Returns 0, which means no advice, if the settings do not
+    /// Returns the time in milliseconds after which the client of a rejected request should retry: the time
+    /// in which its rate quota refills by the cost of the request or, without a rate quota, the longest time
+    /// for which the request would have been queued. Returns 0, which means no advice, if the settings do not
     /// allow any. The class and the plan of the request must exist.
     #[must_use]
     pub fn retry_after_ms(&self, request: &Request) -> Millis {
--- a/limiter-core/src/rules/client_connections.rs
+++ b/limiter-core/src/rules/client_connections.rs
@@ -17,8 +17,8 @@
 /// Time in milliseconds for which a connection must have been idle since its last response before it may be
 /// evicted so that another connection can be accepted.
 const IDLE_EVICTION_DELAY_MS: Millis = 50.0;
-/// Time in milliseconds for which a request must have been arriving before it may be evicted. In the meantime,
-/// clients in the accept queue may have to wait.
+/// Time in milliseconds for which a request must have been arriving before it may be evicted. In the
+/// meantime, clients in the accept queue may have to wait.
 const INCOMPLETE_EVICTION_DELAY_MS: Millis = 100.0;
 
 /// The facts about a client connection that decide whether it may be closed.
@@ -120,8 +120,8 @@
         self.is_receiving_body && self.open_requests == 1
     }
 
-    /// Returns whether a request has been arriving, or no request has arrived, for so long that the connection
-    /// may be given to another client.
+    /// Returns whether a request has been arriving, or no request has arrived, for so long that the
+    /// connection may be given to another client.
     fn has_been_unused_for_long(&self) -> bool {
         match self.incomplete_for_ms {
             Some(incomplete_ms) => incomplete_ms > INCOMPLETE_EVICTION_DELAY_MS,
--- a/limiter-core/tests/rules.rs
+++ b/limiter-core/tests/rules.rs
@@ -22,8 +22,8 @@
     assert!(open.blocks_shutdown());
 }
 
-/// A client that stalls must not keep out other clients, wherever in a request it stops. Once the head has been
-/// read, it needs a response.
+/// A client that stalls must not keep out other clients, wherever in a request it stops. Once the head has
+/// been read, it needs a response.
 #[test]
 fn a_connection_may_be_evicted_after_a_request_has_been_arriving_for_100_ms() {
     let in_head = |ms| ClientConnectionFacts { incomplete_for_ms: Some(ms), idle_ms: 9_000.0, ..IDLE };
@@ -36,7 +36,8 @@
     assert_eq!(behind_an_unwritten_response.eviction(), None);
 }
 
-/// A request that cannot be submitted must be rejected, because no other client can use its connection before.
+/// A request that cannot be submitted must be rejected, because no other client can use its connection
+/// before.
 #[test]
 fn a_request_is_submitted_while_few_connections_are_busy() {
     let submission = |busy_connections| SubmissionFacts { busy_connections, max_busy_connections: 42 };
--- a/limiter/src/frontend/acceptor.rs
+++ b/limiter/src/frontend/acceptor.rs
@@ -132,8 +132,8 @@
     /// evicted, but not beyond [`MAX_SHUTDOWN_DRAIN_TIME`] or `deadline`. Clients that keep connecting
     /// therefore do not prolong the shutdown.
     ///
-    /// Must be awaited to the end: cancelling closes the listener and resets the connections that are still in
-    /// the queue.
+    /// Must be awaited to the end: cancelling closes the listener and resets the connections that are still
+    /// in the queue.
     pub(super) async fn close(&mut self, deadline: Instant) {
         let Some(listener) = self.listener.take() else { return };
         let deadline = deadline.min(Instant::now() + MAX_SHUTDOWN_DRAIN_TIME);
@@ -142,8 +142,8 @@
         }
     }
 
-    /// Serves the connections in the accept queue until the queue is empty. After the deadline, only as many are
-    /// accepted as fit into an empty table, without waiting for capacity.
+    /// Serves the connections in the accept queue until the queue is empty. After the deadline, only as many
+    /// are accepted as fit into an empty table, without waiting for capacity.
     ///
     /// # Errors
     /// [`DrainError`] if connections may be left in the queue.
--- a/limiter/src/frontend/close_signals.rs
+++ b/limiter/src/frontend/close_signals.rs
@@ -5,8 +5,8 @@
 use tokio::sync::futures::Notified;
 use tokio::sync::Notify;
 
-/// Signals that ask a connection's task to close its connection, gracefully or at once, or to reject a request
-/// that is incomplete.
+/// Signals that ask a connection's task to close its connection, gracefully or at once, or to reject a
+/// request that is incomplete.
 pub(super) struct CloseSignals {
     /// Whether a graceful shutdown has been requested: the connection has to end as soon as no response is
     /// outstanding.
@@ -69,9 +69,9 @@
 
     /// Completes one yield after a rejection has been requested, so that a body which has arrived is read
     /// first, as for [`CloseSignals::abort_requested`]. Awaited by the handler of the open request. A signal
-    /// that is sent while no handler waits is stored, possibly for a later request: the handler checks whether
-    /// the request may still be rejected. Cancelling during the yield loses the signal; the eviction that sent
-    /// it sends it again.
+    /// that is sent while no handler waits is stored, possibly for a later request: the handler checks
+    /// whether the request may still be rejected. Cancelling during the yield loses the signal; the eviction
+    /// that sent it sends it again.
     pub(super) async fn rejection_requested(&self) {
         self.rejection.notified().await;
         tokio::task::yield_now().await;
--- a/limiter/src/frontend/read_ahead/client_socket.rs
+++ b/limiter/src/frontend/read_ahead/client_socket.rs
@@ -19,9 +19,9 @@
         ClientSocket { read_ahead, state }
     }
 
-    /// Returns whether the next request, or a part of it, has arrived while the current one is open. Reads the
-    /// socket if the current request is complete: it may have been rejected before anything behind it was read,
-    /// and a response that ends the connection would lose those bytes.
+    /// Returns whether the next request, or a part of it, has arrived while the current one is open. Reads
+    /// the socket if the current request is complete: it may have been rejected before anything behind it was
+    /// read, and a response that ends the connection would lose those bytes.
     pub fn has_pipelined_bytes(&self) -> bool {
         if self.state.awaits_response() {
             let watch = self.state.watch_for_disconnect();
--- a/limiter/src/frontend/request/handler.rs
+++ b/limiter/src/frontend/request/handler.rs
@@ -141,8 +141,8 @@
         response::invalid_request(status, error.to_string())
     }
 
-    /// Counts and logs a request that was shed, and returns its response. The connection is needed for another
-    /// client and ends with the response, unless further requests have been read from it.
+    /// Counts and logs a request that was shed, and returns its response. The connection is needed for
+    /// another client and ends with the response, unless further requests have been read from it.
     fn shed(&self, reason: ShedReason, retry_after_ms: Millis) -> ClientResponse {
         tracing::debug!(%reason, "request shed");
         Metrics::count(&self.engine.metrics().shed_requests, reason);
@@ -195,11 +195,12 @@
         request: &limiter_core::Request,
         started_at: Instant,
     ) -> Result<Bytes, RequestError> {
+        let deadline = started_at + INCOMPLETE_REQUEST_TIMEOUT;
         tokio::select! {
             biased;
             body = read_body(body) => Ok(body?),
             () = self.evicted() => Err(self.shed_error(ShedReason::Evicted, request)),
-            () = sleep_until(started_at + INCOMPLETE_REQUEST_TIMEOUT) => Err(RequestBodyError::TimedOut.into()),
+            () = sleep_until(deadline) => Err(RequestBodyError::TimedOut.into()),
         }
     }
 
--- a/limiter/src/frontend/response.rs
+++ b/limiter/src/frontend/response.rs
@@ -33,8 +33,8 @@
     }
 }
 
-/// Returns the response to a valid request that was not submitted, because client connections are scarce, with
-/// advice on when to retry if there is any.
+/// Returns the response to a valid request that was not submitted, because client connections are scarce,
+/// with advice on when to retry if there is any.
 pub(super) fn overloaded(retry_after_ms: Millis) -> ClientResponse {
     let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
     advise_retry(&mut response, retry_after_ms);
--- a/limiter/src/frontend/shutdown.rs
+++ b/limiter/src/frontend/shutdown.rs
@@ -46,9 +46,8 @@
 }
 
 impl Shutdown {
-    /// Begins a shutdown whose signal has just arrived.
-    /// Requests are served as before for `serve_for`, and all of them have received their final response after
-    /// `respond_within`.
+    /// Begins a shutdown whose signal has just arrived. Requests are served as before for `serve_for`, and
+    /// all of them have received their final response after `respond_within`.
     pub(super) fn begin(serve_for: Duration, respond_within: Duration) -> Shutdown {
         let signalled_at = Instant::now();
         Shutdown {
--- a/limiter/tests/client_connection_limit.rs
+++ b/limiter/tests/client_connection_limit.rs
@@ -15,8 +15,8 @@
 const DESCRIPTORS: u32 = 100;
 /// Number of clients that stall, several times the connections that the limiter accepts with [`DESCRIPTORS`].
 const NUM_STALLED_CLIENTS: usize = 400;
-/// Highest number of requests that the limiter accepts and has not answered, with [`DESCRIPTORS`]: half of the
-/// descriptors that are not reserved.
+/// Highest number of requests that the limiter accepts and has not answered, with [`DESCRIPTORS`]: half of
+/// the descriptors that are not reserved.
 const MAX_OPEN_REQUESTS: usize = 42;
 /// Time in seconds that the client of a usual request waits.
 const TIME_LEFT_S: u64 = 10;
@@ -52,8 +52,8 @@
     response
 }
 
-/// Opens connections until there are several times as many as the limiter accepts, and stops within the body of
-/// a request on each.
+/// Opens connections until there are several times as many as the limiter accepts, and stops within the body
+/// of a request on each.
 fn stall_within_bodies(limiter: &LimiterProcess) -> Vec<TcpStream> {
     (0..NUM_STALLED_CLIENTS).map(|id| limiter.send(&request_stalled_in_body(id))).collect()
 }
@@ -89,8 +89,8 @@
     assert_eq!(server.num_received(), 0);
 }
 
-/// A limiter whose server drains, and clients whose requests wait for another server. No further request may be
-/// submitted.
+/// A limiter whose server drains, and clients whose requests wait for another server. No further request may
+/// be submitted.
 struct FullLimiter {
     server: StubServer,
     limiter: LimiterProcess,
@@ -125,8 +125,8 @@
     }
 }
 
-/// Guards against a request that waits unread in the accept queue beyond its time, because every connection has
-/// an open request that waits for a server.
+/// Guards against a request that waits unread in the accept queue beyond its time, because every connection
+/// has an open request that waits for a server.
 #[test]
 fn a_request_beyond_the_limit_is_answered_while_the_open_requests_wait() {
     let mut full = FullLimiter::start();
@@ -136,8 +136,8 @@
     assert_eq!(full.limiter.request(&usual_request()).status, 200, "there must be capacity again");
 }
 
-/// Guards against a connection that is closed with the first 503, although another request has arrived on it and
-/// was not read.
+/// Guards against a connection that is closed with the first 503, although another request has arrived on it
+/// and was not read.
 #[test]
 fn all_pipelined_requests_beyond_the_limit_are_answered() {
     let full = FullLimiter::start();
@@ -147,8 +147,8 @@
     assert_eq!(read_response(&mut client).status, 503);
 }
 
-/// Clients that stop within the body of a request, and do the same on a new connection when the limiter ends the
-/// old one. Dropping the value ends them.
+/// Clients that stop within the body of a request, and do the same on a new connection when the limiter ends
+/// the old one. Dropping the value ends them.
 struct PersistentStalledClients {
     is_ended: Arc<AtomicBool>,
 }
--- a/limiter/tests/shutdown_races.rs
+++ b/limiter/tests/shutdown_races.rs
@@ -128,8 +128,8 @@
     }
 }
 
-/// More clients than the limiter accepts connect again as soon as they are answered. Guards against a shutdown
-/// that they prolong without limit, because the accept queue is never empty.
+/// More clients than the limiter accepts connect again as soon as they are answered. Guards against a
+/// shutdown that they prolong without limit, because the accept queue is never empty.
 #[test]
 fn clients_that_keep_connecting_do_not_prolong_the_shutdown() {
     const DESCRIPTORS: u32 = 100;
@@ -151,9 +151,9 @@
     }
 }
 
-/// Two pipelined requests wait to be accepted while the process stalls. The first one is rejected at once, and
-/// the limiter has not read the second one by then. Guards against a response that ends its connection although
-/// another request has arrived.
+/// Two pipelined requests wait to be accepted while the process stalls. The first one is rejected at once,
+/// and the limiter has not read the second one by then. Guards against a response that ends its connection
+/// although another request has arrived.
 #[test]
 fn pipelined_requests_are_answered_during_shutdown_if_the_first_is_rejected_at_once() {
     for _ in 0..3 {
--- a/limiter/tests/stubs/client.rs
+++ b/limiter/tests/stubs/client.rs
@@ -56,8 +56,8 @@
     head.replace(DEFAULT_CORRELATION_ID, &format!("c-{key}")) + body
 }
 
-/// Adds a header to a request, so that the request is exactly as long as the first read of the limiter on a new
-/// connection. Nothing of a request that follows is read together with it.
+/// Adds a header to a request, so that the request is exactly as long as the first read of the limiter on a
+/// new connection. Nothing of a request that follows is read together with it.
 ///
 /// # Panics
 ///
