--- a/limiter/src/frontend/acceptor.rs
+++ b/limiter/src/frontend/acceptor.rs
@@ -19,8 +19,8 @@
 /// Largest number of failed accepts that are retried while the accept queue is drained during the shutdown.
 /// The queue is abandoned at the next failure. With [`ACCEPT_RETRY_DELAY`], the retries take one second.
 const MAX_SHUTDOWN_ACCEPT_RETRIES: u32 = 100;
-/// Longest time for which the accept queue is drained during the shutdown. Twice the time after which a
-/// connection with an incomplete request may be evicted, and the delays until that is noticed.
+/// Longest time for which the accept queue is drained during the shutdown. Several times as long as a
+/// connection with an incomplete request is kept before it may be evicted.
 const MAX_SHUTDOWN_DRAIN_TIME: Duration = Duration::from_millis(500);
 /// Delay before the next search for a connection that may be evicted, if none has closed before.
 const EVICTION_RETRY_DELAY: Duration = Duration::from_millis(10);
@@ -32,8 +32,8 @@
 #[derive(Debug, thiserror::Error)]
 enum DrainError {
     /// This host cannot accept connections.
-    #[error("{0}")]
-    Accept(#[source] io::Error),
+    #[error(transparent)]
+    Accept(io::Error),
     /// The limit of client connections has been reached, and none of them could be evicted in time.
     #[error("too many connections")]
     TooManyConnections,
--- a/limiter/tests/client_connection_limit.rs
+++ b/limiter/tests/client_connection_limit.rs
@@ -107,10 +107,7 @@
         let waiting_clients = (0..MAX_OPEN_REQUESTS)
             .map(|id| limiter.send(&request_with_long_timeout(&format!("waiting-{id}"))))
             .collect();
-        wait_for("the requests to be submitted", || {
-            limiter.signal("USR1");
-            limiter.has_logged(&format!("limiter_requests_total value={MAX_OPEN_REQUESTS}"))
-        });
+        limiter.wait_until_counted(&format!("limiter_requests_total value={MAX_OPEN_REQUESTS}"));
         FullLimiter { server, limiter, waiting_clients }
     }
 
@@ -192,10 +189,7 @@
     let server = StubServer::responding_with("fine");
     let mut limiter = start_limiter(&server, |configuration| configuration);
     let clients = PersistentStalledClients::start(&limiter);
-    wait_for("clients to be evicted", || {
-        limiter.signal("USR1");
-        limiter.has_logged(r#"limiter_shed_requests_total{reason="evicted"}"#)
-    });
+    limiter.wait_until_counted(r#"limiter_shed_requests_total{reason="evicted"}"#);
     limiter.signal("TERM");
     let mut max_open_descriptors = 0;
     while limiter.is_running() {
--- a/limiter/tests/stubs/limiter_process.rs
+++ b/limiter/tests/stubs/limiter_process.rs
@@ -152,6 +152,19 @@
         wait_for(text, || self.has_logged(text));
     }
 
+    /// Requests the counters until one of them is logged with a text that begins with `counter`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no such line within [`super::WAIT_TIMEOUT`].
+    pub fn wait_until_counted(&self, counter: &str) {
+        let logged_text = format!("name={counter}");
+        wait_for(counter, || {
+            self.signal("USR1");
+            self.has_logged(&logged_text)
+        });
+    }
+
     /// Returns whether the process has not exited.
     ///
     /// # Panics
