Review: drop cases 6 and 7, which earlier cases show, and number the others anew

Looked at: the earlier cases. review/2 shows the foreign answers of case 6, and review/3 the partial answers of case 7. Both are dropped.

--- a/review/8/main.rs
+++ b/review/8/main.rs
@@ -1,106 +1,54 @@
-//! Case 8: a client sends six requests with bodies at once, and the first of them takes some seconds. Each of
-//! them must be answered.
+//! Case 8: clients send several requests at once. Bodies and answers have the longest length that the protocol
+//! allows. A limiter must stay within its memory limit: over it, the platform kills the limiter.
 #[path = "../stand-ins-2/kit.rs"]
 mod kit;
 
 use std::collections::BTreeMap;
 use std::fs;
 use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
-use std::sync::Arc;
+use std::net::TcpStream;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use kit::*;
 
-const REQUESTS: u64 = 6;
-/// Length of each body in bytes; the protocol allows 64 KiB.
-const BODY_BYTES: usize = 20_000;
-const TIME_LEFT_S: f64 = 4.0;
-/// Work of the requests: one in two is costly.
-const COSTLY: Duration = Duration::from_millis(2500);
-const USUAL: Duration = Duration::from_millis(130);
+const DURATION: Duration = Duration::from_secs(20);
+/// The lowest limit that the pages name, and a middle number of descriptors.
+const MEMORY_MB: u32 = 32;
+const SOCKETS: u32 = 512;
+/// Client connections at one limiter: under the third of the descriptors that clients hold at most.
+const CLIENTS: u64 = 140;
+/// Requests that a client sends at once, and in the run without the disruption.
+const AT_ONCE: u64 = 5;
+const ONE_AT_A_TIME: u64 = 1;
+/// Time in which the clients begin, and the pause of a client after its answers.
+const RAMP_MS: u64 = 200;
+const PAUSE_MS: u64 = 200;
+/// The longest body that the protocol allows.
+const BODY_BYTES: usize = 64 << 10;
+const WORK: Duration = Duration::from_millis(250);
 
-#[derive(Clone, Debug, Default)]
-struct Outcome {
-    /// When the last byte was written.
-    written: Option<Instant>,
-    /// Whether the limiter's machine held no unread byte of the connection when the bytes had been written.
-    is_read: bool,
-    /// Status of the answer.
-    answer: Option<u16>,
-}
-
-/// Unread bytes of the connection on the limiter's side, as the machine tells them (/proc/net/tcp).
-fn unread_bytes(limiter: SocketAddr, client: SocketAddr) -> Option<u64> {
-    let table = fs::read_to_string("/proc/net/tcp").ok()?;
-    let port = |text: &str| u16::from_str_radix(text.rsplit(':').next()?, 16).ok();
-    table.lines().skip(1).find_map(|line| {
-        let fields: Vec<&str> = line.split_whitespace().collect();
-        let is_it = port(fields.get(1)?)? == limiter.port() && port(fields.get(2)?)? == client.port();
-        is_it.then(|| u64::from_str_radix(fields.get(4)?.split(':').nth(1)?, 16).ok())?
-    })
-}
-
-/// Sends the requests on one connection, all at once or each after the answer to the one before, until all
-/// are answered or the connection ends.
-fn exchange(case: &Case, address: SocketAddr, requests: &[Request], outcomes: &mut BTreeMap<String, Outcome>) {
-    let Ok(stream) = TcpStream::connect(address) else { return case.note("no connection") };
-    let _ = stream.set_nodelay(true);
-    let _ = stream.set_read_timeout(Some(ms(8000)));
-    let client = stream.local_addr().expect("an address");
-    let mut reader = Reader::new(stream);
-    if case.trouble() {
-        let bytes: Vec<u8> = requests.iter().flat_map(Request::bytes).collect();
-        if reader.stream.write_all(&bytes).is_err() {
-            return case.note("not written");
-        }
-        let written = Instant::now();
-        thread::sleep(ms(500));
-        let unread = unread_bytes(address, client);
-        if unread.is_none() {
-            case.cannot_run("the machine does not tell the unread bytes of a connection");
-        }
-        case.note(&format!("{} requests written, {} bytes; unread 0.5 s later: {unread:?}", requests.len(), bytes.len()));
-        for request in requests {
-            let outcome = outcomes.entry(request.id.clone()).or_default();
-            (outcome.written, outcome.is_read) = (Some(written), unread == Some(0));
-        }
-    }
-    for request in requests {
-        if !case.trouble() {
-            if reader.stream.write_all(&request.bytes()).is_err() {
-                return;
-            }
-            outcomes.entry(request.id.clone()).or_default().written = Some(Instant::now());
-        }
-        match reader.response() {
-            Ok(answer) => {
-                let text = String::from_utf8_lossy(&answer.body).into_owned();
-                case.note(&format!("{} answered {} '{text}'", request.id, answer.status));
-                outcomes.entry(request.id.clone()).or_default().answer = Some(answer.status);
-            }
-            Err(error) => return case.note(&format!("the connection ended: {error}")),
-        }
-    }
+/// Memory of a process in kilobytes that is its own alone (no file, nothing shared).
+fn own_kb(pid: i32) -> u64 {
+    let text = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let field = |name: &str| {
+        text.lines().find_map(|line| line.strip_prefix(name)?.split_whitespace().next()?.parse().ok())
+    };
+    field("RssAnon:").unwrap_or(0)
 }
 
 fn main() {
-    let case = Case::begin(ms(90_000));
+    let case = Case::begin(ms(60_000));
     let arrivals: Arrivals = Arc::default();
-    let handler: Arc<ConnectionHandler> = {
-        let arrivals = arrivals.clone();
-        Arc::new(move |reader: &mut Reader, name: &str| loop {
-            let request = reader.request()?;
-            record_arrival(&arrivals, name, &request);
-            let is_costly = request.id().as_bytes().last().is_some_and(|digit| digit % 2 == 1);
-            thread::sleep(if is_costly { COSTLY } else { USUAL });
-            write_ok(&mut reader.stream, format!("answer to {}", request.id()).as_bytes())?;
-        })
-    };
-    let servers: Vec<Entry> = (0..4).map(|i| start_server(&format!("s-{i}"), handler.clone())).collect();
+    let at_once = if case.trouble() { AT_ONCE } else { ONE_AT_A_TIME };
+    let servers: Vec<Entry> = (0..12)
+        .map(|i| start_server(&format!("s-{i}"), sound_server(&arrivals, WORK, |_| vec![b'y'; BODY_BYTES])))
+        .collect();
     let discovery = Discovery::start(&servers);
-    let settings = Settings::usual(2);
+    let mut settings = Settings::usual(2);
+    settings.memory_mb = MEMORY_MB;
+    settings.sockets = SOCKETS;
     let peers = [free_udp(), free_udp()];
     let mut limiters: Vec<Limiter> = (0..2)
         .map(|i| Limiter::new(&case, i, &settings, &peers, discovery.address, discovery.full_json()))
@@ -109,33 +57,79 @@
     limiters.iter_mut().for_each(|limiter| limiter.wait_ready(ms(10_000)));
     let address = limiters[0].address;
 
-    let requests: Vec<Request> = (0..REQUESTS)
-        .map(|number| {
-            let mut request = Request::new("place-order", 1000 + number, TIME_LEFT_S);
-            request.spread = 2;
-            request.body = vec![b'x'; BODY_BYTES];
-            request
-        })
-        .collect();
-    let mut outcomes: BTreeMap<String, Outcome> = BTreeMap::new();
-    exchange(&case, address, &requests, &mut outcomes);
-    for limiter in &mut limiters {
-        if let Some(status) = limiter.ended() {
-            case.cannot_run(&format!("n{} ended: {status}", limiter.number));
-        }
+    let end = Instant::now() + DURATION;
+    let counts: Arc<Mutex<BTreeMap<u16, u64>>> = Arc::default();
+    for client in 0..CLIENTS {
+        let counts = counts.clone();
+        thread::spawn(move || {
+            let mut random = Random::new(client);
+            thread::sleep(ms(random.below(RAMP_MS)));
+            let mut number = 0;
+            while Instant::now() < end {
+                let Ok(stream) = TcpStream::connect(address) else { continue };
+                let _ = stream.set_nodelay(true);
+                let _ = stream.set_read_timeout(Some(ms(5000)));
+                let mut reader = Reader::new(stream);
+                'connection: while Instant::now() < end {
+                    let mut bytes = Vec::new();
+                    for _ in 0..at_once {
+                        number += 1;
+                        let mut request = Request::new("place-order", client << 20 | number, 4.0);
+                        request.spread = 2;
+                        request.body = vec![b'x'; BODY_BYTES];
+                        bytes.extend_from_slice(&request.bytes());
+                    }
+                    let Ok(mut writer) = reader.stream.try_clone() else { break };
+                    let writing = thread::spawn(move || writer.write_all(&bytes).is_ok());
+                    let mut is_open = true;
+                    for _ in 0..at_once {
+                        let Ok(answer) = reader.response() else {
+                            is_open = false;
+                            break;
+                        };
+                        *lock(&counts).entry(answer.status).or_insert(0) += 1;
+                        is_open = !answer.closes();
+                        if !is_open {
+                            break;
+                        }
+                    }
+                    if !is_open {
+                        let _ = reader.stream.shutdown(std::net::Shutdown::Both);
+                    }
+                    let _ = writing.join();
+                    thread::sleep(ms(PAUSE_MS));
+                    if !is_open {
+                        break 'connection;
+                    }
+                }
+            }
+        });
     }
+
+    // The platform: kills a limiter that is over its limit. A megabyte is read as 2^20 bytes, and only the
+    // process's own memory is counted; both are the reading that is kindest to the limiter.
+    let limit_kb = u64::from(MEMORY_MB) << 10;
     let mut breaks = Vec::new();
-    for request in &requests {
-        let outcome = outcomes.get(&request.id).cloned().unwrap_or_default();
-        let ran = lock(&arrivals).iter().filter(|arrival| arrival.id == request.id).count();
-        case.note(&format!("{}: reached servers {ran} times", request.id));
-        if outcome.answer.is_none() && outcome.written.is_some() {
-            if outcome.is_read {
-                breaks.push(format!("{} was read, and its connection was closed with no answer", request.id));
-            } else {
-                case.note(&format!("{}: no answer, and it may not have been read", request.id));
-            }
+    let mut peak_kb = 0;
+    while Instant::now() < end && breaks.is_empty() {
+        let own = own_kb(limiters[0].pid());
+        peak_kb = peak_kb.max(own);
+        if own > limit_kb {
+            let resident = limiters[0].status_kb("VmRSS");
+            let text = format!("n0 uses {own} kB of its own ({resident} kB with files); the limit is {limit_kb} kB");
+            case.note(&text);
+            breaks.push(format!("{text}: killed"));
+            limiters[0].kill();
+        } else if let Some(status) = limiters[0].ended() {
+            breaks.push(format!("n0 ended: {status}"));
         }
+        thread::sleep(ms(2));
+    }
+    let per_client = format!("{CLIENTS} clients, {at_once} requests at once, bodies and answers of {BODY_BYTES} bytes");
+    case.note(&format!("{per_client}; peak {peak_kb} kB; answers by status {:?}", lock(&counts)));
+    case.note(&format!("{} requests reached servers", lock(&arrivals).len()));
+    if breaks.is_empty() && !lock(&counts).contains_key(&200) {
+        case.cannot_run("no request was served");
     }
-    case.end("every request that was read gets its final answer", &breaks)
+    case.end("no limiter goes over its memory limit and is killed", &breaks)
 }
