Review: the programs of the cases end their processes at a signal, too

Looked at: what is left when a script is interrupted. The program now ends the limiters that it started, removes its folder and exits with 2 at SIGTERM, SIGINT and SIGHUP, and when it fails itself.

--- a/review/stand-ins-2/kit.rs
+++ b/review/stand-ins-2/kit.rs
@@ -19,9 +19,19 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn signal(number: i32, handler: extern "C" fn(i32)) -> usize;
 }
+
+/// Whether the program has got a signal that asks it to end.
+static INTERRUPTED: AtomicBool = AtomicBool::new(false);
+
+extern "C" fn on_signal(_: i32) {
+    INTERRUPTED.store(true, Ordering::SeqCst);
+}
+
 /// Numbers of signals, the same on x86-64 and arm64 Linux.
 pub const SIGHUP: i32 = 1;
+const SIGINT: i32 = 2;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 
@@ -75,7 +85,7 @@
 
 impl Case {
     /// Begins the case whose folder is the first argument of the program. Ends the process with 2 after
-    /// `limit`, so that no run lasts longer.
+    /// `limit`, so that no run lasts longer, and at a signal that asks it to end.
     pub fn begin(limit: Duration) -> Case {
         let case_folder = PathBuf::from(std::env::args().nth(1).unwrap_or_else(|| ".".into()));
         let root = PathBuf::from(std::env::args().nth(2).unwrap_or_else(|| ".".into()));
@@ -106,10 +116,23 @@
             case.cannot_run("no run command in deploy/balancer.toml, or no temporary folder");
         }
         case.note(&format!("disruption: {}", if trouble { "made" } else { "left out (TROUBLE=0)" }));
+        for number in [SIGHUP, SIGINT, SIGTERM] {
+            unsafe { signal(number, on_signal) };
+        }
+        let failing = case.clone();
+        std::panic::set_hook(Box::new(move |info| {
+            if thread::current().name() == Some("main") {
+                failing.cannot_run(&format!("{info}"));
+            }
+        }));
         let watchdog = case.clone();
         thread::spawn(move || {
-            thread::sleep(limit);
-            watchdog.cannot_run("the run took too long");
+            let begin = Instant::now();
+            while begin.elapsed() < limit && !INTERRUPTED.load(Ordering::SeqCst) {
+                thread::sleep(ms(20));
+            }
+            let is_late = begin.elapsed() >= limit;
+            watchdog.cannot_run(if is_late { "the run took too long" } else { "interrupted by a signal" });
         });
         case
     }
