--- a/review/8/main.rs
+++ b/review/8/main.rs
@@ -60,7 +60,7 @@
     let end = Instant::now() + DURATION;
     let counts: Arc<Mutex<BTreeMap<u16, u64>>> = Arc::default();
     for client in 0..CLIENTS {
-        let counts = counts.clone();
+        let (case, counts) = (case.clone(), counts.clone());
         thread::spawn(move || {
             let mut random = Random::new(client);
             thread::sleep(ms(random.below(RAMP_MS)));
@@ -79,14 +79,18 @@
                         request.body = vec![b'x'; BODY_BYTES];
                         bytes.extend_from_slice(&request.bytes());
                     }
+                    let last = number;
+                    case.note(&format!("client {client} sends its requests {} to {last}", last + 1 - at_once));
                     let Ok(mut writer) = reader.stream.try_clone() else { break };
                     let writing = thread::spawn(move || writer.write_all(&bytes).is_ok());
                     let mut is_open = true;
-                    for _ in 0..at_once {
+                    for one in 0..at_once {
                         let Ok(answer) = reader.response() else {
                             is_open = false;
                             break;
                         };
+                        let which = last + 1 - at_once + one;
+                        case.note(&format!("client {client}: request {which} answered {}", answer.status));
                         *lock(&counts).entry(answer.status).or_insert(0) += 1;
                         is_open = !answer.closes();
                         if !is_open {
@@ -127,6 +131,9 @@
     }
     let per_client = format!("{CLIENTS} clients, {at_once} requests at once, bodies and answers of {BODY_BYTES} bytes");
     case.note(&format!("{per_client}; peak {peak_kb} kB; answers by status {:?}", lock(&counts)));
+    for arrival in lock(&arrivals).iter() {
+        case.note(&format!("{} reached {} ({})", arrival.id, arrival.server, arrival.path));
+    }
     case.note(&format!("{} requests reached servers", lock(&arrivals).len()));
     if breaks.is_empty() && !lock(&counts).contains_key(&200) {
         case.cannot_run("no request was served");
--- a/review/stand-ins-2/kit.rs
+++ b/review/stand-ins-2/kit.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::fs::{self, File};
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{exit, Child, Command, Stdio};
@@ -20,7 +20,10 @@
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
     fn signal(number: i32, handler: extern "C" fn(i32)) -> usize;
+    fn prctl(option: i32, ...) -> i32;
 }
+/// Option of `prctl`: the signal that a process gets when the thread that started it ends.
+const PR_SET_PDEATHSIG: i32 = 1;
 
 /// Whether the program has got a signal that asks it to end.
 static INTERRUPTED: AtomicBool = AtomicBool::new(false);
@@ -189,13 +192,21 @@
     }
 }
 
-/// Returns a free port on 127.0.0.1.
+/// Returns a loopback address of this run, other than 127.0.0.1. Outgoing connections have 127.0.0.1 as their
+/// own address, so none of them can take a port of this address while no limiter is bound to it.
+fn own_address() -> IpAddr {
+    let id = std::process::id();
+    IpAddr::V4(Ipv4Addr::new(127, 64 + (id >> 16) as u8 % 64, (id >> 8) as u8, (id as u8).clamp(1, 254)))
+}
+
+/// Returns an address with a free TCP port for a limiter, which binds it later.
 pub fn free_tcp() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a free port")
+    TcpListener::bind((own_address(), 0)).and_then(|listener| listener.local_addr()).expect("a free port")
 }
 
+/// Returns an address with a free UDP port for a limiter, which binds it later.
 pub fn free_udp() -> SocketAddr {
-    UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr()).expect("a free port")
+    UdpSocket::bind((own_address(), 0)).and_then(|socket| socket.local_addr()).expect("a free port")
 }
 
 // ---------------------------------------------------------------------------------------------------------
@@ -316,6 +327,14 @@
             .stdout(Stdio::null())
             .stderr(log)
             .process_group(0);
+        // The limiter ends with the program of the case, also when that is killed outright. Limiters are
+        // started by the main thread, which lives until the end.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as usize);
+                Ok(())
+            });
+        }
         let child = command.spawn().unwrap_or_else(|error| self.case.cannot_run(&format!("start: {error}")));
         lock(&self.case.inner.children).push(child.id() as i32);
         self.case.note(&format!("n{} started, process {}", self.number, child.id()));
