Allocate each buffer of a connection for its content, not for up to twice of it

Cause: connections are bounded by 0.15 MB each, as if a buffer were as large as its content may be. Bodies and read-ahead buffers grew by doubling, hyper enlarged the read buffer of server connections to 64 KiB and kept it while idle, pending requests kept hyper's old read buffer alive through their header values, the framer kept the head, and the next pipelined request began before the response to the last one was written.

Both tests of memory_limit.rs fail on the code before (32,985,088 and 32,845,824 bytes of 32,000,000) and pass now (24,576,000 and 20,160,512). Loss: 16 instead of 32 KiB are guaranteed to each connection for reading ahead.

--- a/limiter/src/config/limits.rs
+++ b/limiter/src/config/limits.rs
@@ -3,7 +3,16 @@
 
 use super::file::PlatformLimits;
 
-/// Maximum memory in MB that one connection uses. Bounds the number of connections by memory.
+/// Memory in MB for each connection. Bounds the number of connections by memory.
+///
+/// | connection | share of all | holds at most, in KiB |
+/// | --- | --- | --- |
+/// | client with an open request | 1/2 | body 64, response 64, bytes read ahead 16, head and read buffer 32, task 8 |
+/// | other client | 1/12 | the same without a response |
+/// | server | 1/3 | read buffer 16, task 8 |
+///
+/// The response that is being read from a server counts for its client. On average these are 0.113 MB. The
+/// bytes of [`READ_AHEAD_DIVISOR`] add 0.009 MB, and what is left is for all other memory of the process.
 const CONNECTION_MB: f64 = 0.15;
 /// Number of descriptors that are reserved for purposes other than client and server connections. Thirteen
 /// descriptors are always open: the three standard streams, two for events and one for wake-ups, five for
@@ -27,10 +36,7 @@
 const SERVER_DIVISOR: usize = 3;
 
 /// Divisor of the memory for the bytes that are read ahead beyond the amount that each client connection may
-/// always hold. A buffer may allocate twice its content, so these bytes take up to an eighth of the memory. A
-/// connection without a submitted request holds no response and needs half of [`CONNECTION_MB`], so those of
-/// [`OTHER_CLIENT_DIVISOR`] take up to a twenty-fourth. Together, this is the sixth of the memory that busy
-/// clients and servers leave.
+/// always hold.
 const READ_AHEAD_DIVISOR: f64 = 16.0;
 /// Bytes in a megabyte, as the platform counts memory.
 const BYTES_PER_MB: f64 = 1e6;
--- a/limiter/src/frontend/connection.rs
+++ b/limiter/src/frontend/connection.rs
@@ -14,7 +14,7 @@
 
 use super::connection_state::ConnectionState;
 use super::connections::{Connections, OpenConnection};
-use super::limits::MAX_HEAD_BYTES;
+use super::limits::{MAX_HEAD_BYTES, MAX_READ_BYTES};
 use super::read_ahead::{ClientSocket, ReadAhead, ReadAheadStream};
 use super::request::RequestHandler;
 use super::response::ClientResponse;
@@ -34,6 +34,7 @@
     stream.set_nodelay();
     engine.metrics().client_connections_accepted.inc();
     let memory = connections.new_read_ahead_share();
+    let stream = stream.with_max_read_bytes(MAX_READ_BYTES);
     let read_ahead = ReadAhead::new(stream, memory, engine.arrival_clock().clone(), queued_since);
     let task = ConnectionTask {
         engine: engine.clone(),
--- a/limiter/src/frontend/connection_state.rs
+++ b/limiter/src/frontend/connection_state.rs
@@ -226,6 +226,11 @@
         self.last_active.set(now);
     }
 
+    /// Returns whether a response is ready and not completely written.
+    pub(super) fn has_unwritten_response(&self) -> bool {
+        self.unwritten_responses.get() > 0
+    }
+
     /// Records that the response which is about to become ready is the last one of the connection.
     pub(super) fn record_last_response(&self) {
         self.has_last_response.set(true);
--- a/limiter/src/frontend/read_ahead/buffer.rs
+++ b/limiter/src/frontend/read_ahead/buffer.rs
@@ -3,9 +3,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use bytes::BytesMut;
 use tokio::io::ReadBuf;
 
+use super::chunk::Chunk;
 use super::memory::ReadAheadShare;
 use super::request_framer::RequestFramer;
 use crate::runtime::arrival::Arrival;
@@ -23,13 +23,6 @@
 #[error("the read-ahead buffer is full")]
 pub struct BufferFull;
 
-/// Bytes that are treated as having arrived together.
-struct Chunk {
-    bytes: BytesMut,
-    /// When the first of the bytes arrived.
-    arrival: Arrival,
-}
-
 /// The bytes that a client has sent after its open request, in the order in which they arrived.
 pub struct ReadAheadBuffer {
     chunks: VecDeque<Chunk>,
@@ -62,9 +55,9 @@
         let may_add_chunk = self.chunks.len() < MAX_CHUNKS;
         match self.chunks.back_mut() {
             Some(last) if !may_add_chunk || arrival.read_at - last.arrival.read_at < MIN_CHUNK_INTERVAL => {
-                last.bytes.extend_from_slice(received);
+                last.push(received);
             }
-            _ => self.chunks.push_back(Chunk { bytes: BytesMut::from(received), arrival }),
+            _ => self.chunks.push_back(Chunk::new(received, arrival)),
         }
         Ok(())
     }
@@ -75,7 +68,7 @@
     pub fn push_front(&mut self, bytes: &[u8], arrival: Arrival) {
         self.length += bytes.len();
         self.memory.resize(self.length);
-        self.chunks.push_front(Chunk { bytes: BytesMut::from(bytes), arrival });
+        self.chunks.push_front(Chunk::new(bytes, arrival));
     }
 
     /// Moves bytes of the first chunk into `output`, up to the end of the request that `framer` follows.
@@ -83,11 +76,13 @@
     /// only, so that they have one time of arrival.
     pub fn read_into(&mut self, output: &mut ReadBuf<'_>, framer: &mut RequestFramer) -> Option<Arrival> {
         let chunk = self.chunks.front_mut()?;
-        let max_length = chunk.bytes.len().min(output.remaining());
-        let length = framer.advance(&chunk.bytes[..max_length]);
-        output.put_slice(&chunk.bytes.split_to(length));
+        let piece = chunk.first_piece();
+        let max_length = piece.len().min(output.remaining());
+        let length = framer.advance(&piece[..max_length]);
+        output.put_slice(&piece[..length]);
+        chunk.advance(length);
         let arrival = chunk.arrival;
-        if chunk.bytes.is_empty() {
+        if chunk.is_empty() {
             self.chunks.pop_front();
         }
         self.length -= length;
--- a/limiter/src/frontend/read_ahead/memory.rs
+++ b/limiter/src/frontend/read_ahead/memory.rs
@@ -5,7 +5,7 @@
 
 /// Number of bytes that each connection may buffer regardless of other connections. The memory that the
 /// connection limits reserve for one connection includes these bytes.
-pub const GUARANTEED_BYTES: usize = 32 << 10;
+pub const GUARANTEED_BYTES: usize = 16 << 10;
 
 /// Memory that connections share for the bytes that they buffer beyond [`GUARANTEED_BYTES`].
 pub struct ReadAheadMemory {
--- a/limiter/src/frontend/read_ahead/mod.rs
+++ b/limiter/src/frontend/read_ahead/mod.rs
@@ -13,10 +13,12 @@
 //! | [`client_socket`] | reports to the engine whether the client is still connected |
 //! | `mod.rs` | [`ReadAhead`], the socket and the buffered bytes, which both of them share |
 //! | [`buffer`] | the buffered bytes and the times of their arrival |
+//! | [`chunk`] | bytes that arrived together, in pieces of bounded length |
 //! | [`memory`] | the bound on the buffered bytes of all connections together |
 //! | [`request_framer`] | finds where requests end |
 
 mod buffer;
+mod chunk;
 mod client_socket;
 mod memory;
 mod request_framer;
--- a/limiter/src/frontend/read_ahead/request_framer.rs
+++ b/limiter/src/frontend/read_ahead/request_framer.rs
@@ -1,7 +1,5 @@
 //! Finds the end of each request in the bytes of a client.
 
-use bytes::BytesMut;
-
 use crate::frontend::limits::{MAX_HEADERS, MAX_HEAD_BYTES};
 
 /// How much of the current request has been seen.
@@ -43,13 +41,15 @@
 /// The framer does not decide which requests are valid: hyper parses the same bytes.
 pub struct RequestFramer {
     progress: Progress,
-    head: BytesMut,
+    /// The head of the current request as far as it has been seen, while it is incomplete. Empty otherwise,
+    /// so that an idle connection occupies no memory for it.
+    head: Vec<u8>,
 }
 
 impl RequestFramer {
     /// Creates a framer that expects the first byte of a request.
     pub fn new() -> RequestFramer {
-        RequestFramer { progress: REQUEST_START, head: BytesMut::new() }
+        RequestFramer { progress: REQUEST_START, head: Vec::new() }
     }
 
     /// Returns whether the current request is complete.
@@ -60,7 +60,6 @@
     /// Begins the next request.
     pub fn begin_next(&mut self) {
         self.progress = REQUEST_START;
-        self.head.clear();
     }
 
     /// Processes the next bytes. Returns how many of them belong to the current request; any others are
@@ -83,23 +82,39 @@
     fn advance_head(&mut self, bytes: &[u8], mut progress: HeadProgress) -> usize {
         for (index, byte) in bytes.iter().enumerate() {
             if *byte == b'\n' && progress.is_line_empty && progress.has_begun {
-                self.head.extend_from_slice(&bytes[..=index]);
-                self.progress = match body_length(&self.head) {
-                    Ok(length) => body_progress(length),
-                    Err(UnknownBodyLength) => Progress::Unknown,
-                };
+                self.progress = self.progress_after_head(&bytes[..=index]);
                 return index + 1;
             }
             let is_line_end = matches!(byte, b'\r' | b'\n');
             progress.has_begun |= !is_line_end;
             progress.is_line_empty = *byte == b'\n' || (progress.is_line_empty && is_line_end);
         }
-        self.head.extend_from_slice(bytes);
-        let is_too_long = self.head.len() > MAX_HEAD_BYTES;
-        self.progress = if is_too_long { Progress::Unknown } else { Progress::Head(progress) };
+        self.progress = if self.head.len() + bytes.len() > MAX_HEAD_BYTES {
+            self.head = Vec::new();
+            Progress::Unknown
+        } else {
+            self.head.extend_from_slice(bytes);
+            Progress::Head(progress)
+        };
         bytes.len()
     }
 
+    /// Returns the progress of a request whose head ends with `last_bytes`, and releases the stored part of
+    /// the head.
+    fn progress_after_head(&mut self, last_bytes: &[u8]) -> Progress {
+        let mut head = std::mem::take(&mut self.head);
+        let length = if head.is_empty() {
+            body_length(last_bytes)
+        } else {
+            head.extend_from_slice(last_bytes);
+            body_length(&head)
+        };
+        match length {
+            Ok(length) => body_progress(length),
+            Err(UnknownBodyLength) => Progress::Unknown,
+        }
+    }
+
     /// Processes the body. Returns how many of the bytes belong to the body.
     fn advance_body(&mut self, bytes: &[u8], remaining: usize) -> usize {
         let length = bytes.len().min(remaining);
--- a/limiter/src/frontend/read_ahead/stream.rs
+++ b/limiter/src/frontend/read_ahead/stream.rs
@@ -16,7 +16,7 @@
 /// The byte stream of a client, which gives hyper one request at a time.
 ///
 /// Yields first the bytes that were read ahead, and then those in the socket. Yields no byte of a request
-/// until the response to the previous request is ready. Records in the [`ConnectionState`] when bytes are
+/// until the response to the previous request is written: a connection never holds two responses. Records in the [`ConnectionState`] when bytes are
 /// read, because hyper reports a request only once its head is complete. Also records there when all
 /// responses have been written.
 pub struct ReadAheadStream {
@@ -36,7 +36,7 @@
     }
 
     /// Returns whether hyper may be given bytes now. Begins the next request if the response to the last one
-    /// is ready.
+    /// has been written.
     ///
     /// After a complete request, hyper reads on to detect the end of the stream. This read is refused, and
     /// [`ReadAhead::poll_disconnected`] detects the end of the stream instead. hyper reads again when it is
@@ -45,7 +45,8 @@
         if !self.framer.is_complete() {
             return true;
         }
-        if self.state.awaits_response() || self.state.has_last_response() {
+        let must_wait = self.state.awaits_response() || self.state.has_unwritten_response();
+        if must_wait || self.state.has_last_response() {
             return false;
         }
         self.framer.begin_next();
--- a/limiter/src/frontend/request/handler.rs
+++ b/limiter/src/frontend/request/handler.rs
@@ -165,15 +165,17 @@
     ) -> Result<PendingResponse, RequestError> {
         let (parts, body) = request.into_parts();
         let head = RequestHead::parse(&parts, self.engine.config())?;
+        // The header fields occupy several times the memory of the parsed head, and the body may be slow.
+        drop(parts);
         let body = self.receive_body(body, &head.request, started_at).await;
         self.state.record_body_end();
         let body = body?;
-        if parts.method == Method::GET && !body.is_empty() {
+        if head.method == Method::GET && !body.is_empty() {
             return Err(RequestBodyError::UnexpectedWithGet.into());
         }
         self.check_connection_limit(&head.request)?;
         let forwarded = ForwardedRequest {
-            method: parts.method,
+            method: head.method,
             target: head.target,
             correlation_id: head.correlation_id,
             idempotency_key: head.idempotency_key,
--- a/limiter/src/frontend/request/head.rs
+++ b/limiter/src/frontend/request/head.rs
@@ -83,8 +83,11 @@
     }
 }
 
-/// The head of a valid request.
+/// The head of a valid request. Holds copies: the values of hyper are parts of its read buffer, which would
+/// stay allocated for as long as the request is pending.
 pub struct RequestHead {
+    /// The method, which is the one that the class requires.
+    pub method: Method,
     /// The request in the form that the core handles. The id of the request and the time for which it has
     /// waited are set when it is submitted.
     pub request: Request,
@@ -115,7 +118,7 @@
         let correlation_id =
             non_empty(headers, &CORRELATION_ID).ok_or(RequestHeadError::MissingCorrelationId)?;
         let idempotency_key = parse_idempotency_key(headers, idempotency)?;
-        let target = head.uri.path_and_query().ok_or(RequestHeadError::MissingPath)?;
+        let target = copy_of_target(&head.uri).ok_or(RequestHeadError::MissingPath)?;
         let request = Request {
             id: 0,
             class: path.class,
@@ -127,10 +130,16 @@
             member_count: weight.member_count,
             first_member: weight.first_member,
         };
-        Ok(RequestHead { request, target: target.clone().into(), correlation_id, idempotency_key })
+        let method = head.method.clone();
+        Ok(RequestHead { method, request, target, correlation_id, idempotency_key })
     }
 }
 
+/// Returns a copy of the path and the query of a target, or `None` if the target has no path.
+fn copy_of_target(target: &Uri) -> Option<Uri> {
+    Uri::try_from(target.path_and_query()?.as_str()).ok()
+}
+
 /// Rejects transfer codings, to prevent request smuggling. If a request has both a transfer coding and a
 /// length, hyper uses the coding and may drop the length, while a server may use the length. Clients
 /// therefore have to declare the length.
@@ -205,7 +214,8 @@
     headers.get(name).and_then(|value| value.to_str().ok()).map(str::trim)
 }
 
-/// Returns the value of a header field, unless it is empty.
+/// Returns a copy of the value of a header field, unless it is empty.
 fn non_empty(headers: &HeaderMap, name: &HeaderName) -> Option<HeaderValue> {
-    headers.get(name).filter(|value| !value.is_empty()).cloned()
+    let value = headers.get(name).filter(|value| !value.is_empty())?;
+    HeaderValue::from_bytes(value.as_bytes()).ok()
 }
--- a/limiter/src/net/stream.rs
+++ b/limiter/src/net/stream.rs
@@ -21,6 +21,8 @@
 /// A TCP connection.
 pub struct Stream {
     socket: TcpStream,
+    /// Largest number of bytes in one read.
+    max_read_bytes: usize,
     /// Number of bytes read since the task last yielded or had nothing to read.
     bytes_since_yield: usize,
 }
@@ -28,7 +30,12 @@
 impl Stream {
     /// Wraps a connected socket.
     pub(super) fn new(socket: TcpStream) -> Stream {
-        Stream { socket, bytes_since_yield: 0 }
+        Stream { socket, max_read_bytes: usize::MAX, bytes_since_yield: 0 }
+    }
+
+    /// Returns the connection with a bound on the number of bytes in one read.
+    pub fn with_max_read_bytes(self, max_read_bytes: usize) -> Stream {
+        Stream { max_read_bytes, ..self }
     }
 
     /// Connects to an address. Cancelling abandons the connect and closes the socket.
@@ -139,7 +146,8 @@
             let _ = pin!(yield_now()).poll(cx);
             return Poll::Pending;
         }
-        let read = self.poll_read_call(cx, |mut socket| socket.read(buffer.initialize_unfilled()));
+        let length = buffer.remaining().min(self.max_read_bytes);
+        let read = self.poll_read_call(cx, |mut socket| socket.read(buffer.initialize_unfilled_to(length)));
         match &read {
             Poll::Ready(Ok(length)) => self.bytes_since_yield += length,
             _ => self.bytes_since_yield = 0,
--- a/limiter/src/upstream/connection.rs
+++ b/limiter/src/upstream/connection.rs
@@ -18,6 +18,10 @@
 use crate::net::{is_local_failure, Stream};
 use crate::observability::labels::ServerConnectionOutcome;
 
+/// Largest number of bytes in one read of a response. hyper doubles its read buffer, which stays allocated
+/// while the connection is idle, when a read fills the 8 KiB that it begins with.
+const MAX_READ_BYTES: usize = (8 << 10) - 1;
+
 /// The half of a connection that accepts requests.
 pub type RequestSender = SendRequest<Full<Bytes>>;
 
@@ -84,7 +88,8 @@
             Err(_) => return Err(ConnectError::TimedOut),
         };
         stream.set_nodelay();
-        let handshake = http1::Builder::new().max_buf_size(MAX_BODY_BYTES).handshake(TokioIo::new(stream));
+        let stream = TokioIo::new(stream.with_max_read_bytes(MAX_READ_BYTES));
+        let handshake = http1::Builder::new().max_buf_size(MAX_BODY_BYTES).handshake(stream);
         let (sender, driver) = handshake.await.map_err(ConnectError::Handshake)?;
         Ok(PooledConnection { sender, driver, is_closed: false, _permit: permit })
     }
--- a/limiter/tests/stubs/configuration.rs
+++ b/limiter/tests/stubs/configuration.rs
@@ -121,6 +121,11 @@
         self.replace(r#""sockets":1024"#, &format!("\"sockets\":{descriptors}"))
     }
 
+    /// Sets the memory limit, in megabytes.
+    pub fn with_memory_mb(self, megabytes: u32) -> Configuration {
+        self.replace(r#""memory_mb":192"#, &format!("\"memory_mb\":{megabytes}"))
+    }
+
     /// Sets the configured endpoint list, which may be stale.
     pub fn with_configured_endpoints(self, list: &str) -> Configuration {
         self.replace(EMPTY_ENDPOINT_LIST, list.trim_end())
--- a/limiter/tests/stubs/limiter_process.rs
+++ b/limiter/tests/stubs/limiter_process.rs
@@ -185,13 +185,28 @@
     ///
     /// Panics if the process has exited.
     pub fn peak_memory_kib(&self) -> u64 {
+        self.memory_status_kib("VmHWM:")
+    }
+
+    /// Returns the resident memory that belongs to the process alone and to no file, in KiB. Unlike the
+    /// resident memory of the whole process, it does not depend on the size of the program file.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process has exited.
+    pub fn anonymous_memory_kib(&self) -> u64 {
+        self.memory_status_kib("RssAnon:")
+    }
+
+    /// Returns a field of the status of the process that states an amount of memory, in KiB.
+    fn memory_status_kib(&self, field: &str) -> u64 {
         // The shell that sets the limit on descriptors replaces itself with the limiter, which keeps the
         // process id.
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
         let status = status.expect("the status of the process");
-        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        let peak = peak.expect("the peak memory of the process");
-        peak.trim().trim_end_matches(" kB").parse().expect("a number of KiB")
+        let value = status.lines().find_map(|line| line.strip_prefix(field));
+        let value = value.expect("the field of the status");
+        value.trim().trim_end_matches(" kB").parse().expect("a number of KiB")
     }
 }
 
