Bound the number of quota records, not only the time for which they are kept

Callers saw: one client that sends valid requests at full speed on one connection, each for another customer, made a limiter of 32 MB use 30,508 kB (253,539 requests in 45 s, servers that answer at once). Others were answered in time; the next long request may end the process.

Cause: beyond 10,000 quotas, each is retained for a shorter time in proportion to their number, so that the number grows with the square root of the rate of new customers and has no bound.

Change: after each control step there are at most 10,000 quotas as a member and as an owner, and 10,000 decisions beside those of the last half second and those that a limit on attempts in flight counts. Dropped first is what is like a new record, then what has not been used for longest: one-time customers do not displace a customer that has spent its quota. Below 10,000 quotas nothing changes.

--- a/limiter-core/src/limiter.rs
+++ b/limiter-core/src/limiter.rs
@@ -48,9 +48,9 @@
     pub(crate) is_started: bool,
 }
 
-/// Number of records of each kind that a limiter holds. Requests end and the records of quotas expire, so the
-/// rate of events bounds their numbers; the more quotas there are, the shorter each is retained. The gossip
-/// queue has a fixed bound.
+/// Number of records of each kind that a limiter holds. Requests end, so the rate of events bounds their
+/// number. The number of quotas after a control step and the gossip queue have fixed bounds, and so has the
+/// number of decisions beside those of the last half second and those that count as requests in flight.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RecordCounts {
     /// Quotas of which the limiter is a member.
--- a/limiter-core/src/quota/member/even_share.rs
+++ b/limiter-core/src/quota/member/even_share.rs
@@ -48,6 +48,14 @@
     pub(super) fn refill_even_share(&mut self, now: Millis, share: EvenShare, request_units: f64) {
         self.even_share.refill(now, share.rate, share.capacity.max(request_units));
     }
+
+    /// Returns whether the bucket of the even share is full once it is refilled.
+    pub(super) fn is_even_share_full(&self, now: Millis, plan: &Plan) -> bool {
+        let share = EvenShare::of_rate_quota(plan, self.member_count);
+        let mut bucket = self.even_share;
+        bucket.refill(now, share.rate, share.capacity);
+        bucket.level >= share.capacity
+    }
 }
 
 impl MemberQuotas {
--- a/limiter-core/src/quota/member/mod.rs
+++ b/limiter-core/src/quota/member/mod.rs
@@ -13,7 +13,7 @@
 use std::collections::BTreeMap;
 
 use super::keys::QuotaKey;
-use super::retention::retention_ms;
+use super::retention::{drop_excess_quotas, retention_ms, RecordValue};
 use crate::context::Context;
 use crate::event::{Millis, Request};
 use crate::gossip::{GrantReply, QuotaRequest};
@@ -58,11 +58,14 @@
         self.owner_health.record_gossip(from);
     }
 
-    /// Drops the quotas of customers that have not sent a request for their retention time.
+    /// Drops the quotas of customers that have not sent a request for their retention time, and others if
+    /// there are too many.
     pub fn expire(&mut self, context: &Context) {
-        let count = self.quotas.len();
-        self.quotas
-            .retain(|key, quota| context.now - quota.last_used_at < retention_ms(context, *key, count));
+        self.quotas.retain(|key, quota| context.now - quota.last_used_at < retention_ms(context, *key));
+        drop_excess_quotas(&mut self.quotas, |key, quota| RecordValue {
+            differs_from_new: quota.differs_from_new(context.now, &context.settings.plans[key.plan]),
+            last_used_at: quota.last_used_at,
+        });
     }
 
     /// Returns the quota request for the units of a request. Includes the units that the member has shed
@@ -88,6 +91,8 @@
 /// What a member knows about one quota.
 #[derive(Debug)]
 struct MemberQuota {
+    /// Number of members of the quota, according to the customer's first request.
+    member_count: u32,
     /// Token bucket of the member's even share, in units.
     even_share: TokenBucket,
     /// The customer's demand at all limiters as a multiple of the quota, according to the last reply of any
@@ -111,6 +116,7 @@
     /// requests.
     fn new(now: Millis, plan: &Plan, member_count: u32) -> Self {
         MemberQuota {
+            member_count,
             even_share: TokenBucket::new(plan.burst / f64::from(member_count), now),
             demand_ratio: 0.0,
             last_reply_at: f64::NEG_INFINITY,
@@ -120,6 +126,14 @@
         }
     }
 
+    /// Returns whether the quota would be treated differently if it were new: a part of the even share is
+    /// spent, units are to be reported, or requests may be shed.
+    fn differs_from_new(&self, now: Millis, plan: &Plan) -> bool {
+        let is_shedding = self.has_valid_reply(now) && self.demand_ratio > 1.0;
+        let has_spent_share = !self.is_even_share_full(now, plan);
+        has_spent_share || is_shedding || self.unreported_units > 0.0
+    }
+
     /// Returns whether an owner has ever replied about this quota.
     fn has_reply(&self) -> bool {
         self.last_reply_at > f64::NEG_INFINITY
--- a/limiter-core/src/quota/owner/bucket.rs
+++ b/limiter-core/src/quota/owner/bucket.rs
@@ -40,10 +40,10 @@
 }
 
 /// The state of one quota at an owner.
-#[derive(Debug)]
+#[derive(Debug, Clone, Copy)]
 pub(super) struct OwnerQuota {
-    /// Fraction of the ceiling that this owner holds.
-    pub ceiling_fraction: f64,
+    /// Fractions of the quota that this owner may grant.
+    pub fractions: OwnerFractions,
     /// Token bucket of the rate quota, in units. The bucket may be overdrawn by units that members spent
     /// without asking, and by requests that cost more than their estimate.
     pub rate_bucket: TokenBucket,
@@ -74,7 +74,7 @@
         let empty_sum =
             DecayingSum::new(now, burst_ms.clamp(MIN_DEMAND_TIME_CONSTANT_MS, MAX_DEMAND_TIME_CONSTANT_MS));
         OwnerQuota {
-            ceiling_fraction: fractions.ceiling,
+            fractions,
             rate_bucket: TokenBucket::new(plan.burst * fractions.rate_quota, now),
             ceiling_bucket: TokenBucket::new(-plan.ceiling_slack * fractions.ceiling, ceiling_refill_start),
             outstanding_units: 0.0,
@@ -85,13 +85,29 @@
         }
     }
 
-    /// Refills both buckets; the bucket of the rate quota at `rate_quota_fraction` of the plan's rate, up to
-    /// the same fraction of the plan's burst. Outstanding units lower the capacity of the ceiling's bucket: a
-    /// member may still spend the units after the refill.
-    pub fn refill(&mut self, now: Millis, plan: &Plan, rate_quota_fraction: f64) {
-        self.rate_bucket.refill(now, plan.rate * rate_quota_fraction, plan.burst * rate_quota_fraction);
-        let ceiling_capacity = plan.ceiling_burst * self.ceiling_fraction - self.outstanding_units;
-        self.ceiling_bucket.refill(now, plan.ceiling_rate * self.ceiling_fraction, ceiling_capacity);
+    /// Refills both buckets, at this owner's fractions of the plan's rates and up to the same fractions of
+    /// its bursts. Outstanding units lower the capacity of the ceiling's bucket: a member may still spend the
+    /// units after the refill.
+    pub fn refill(&mut self, now: Millis, plan: &Plan) {
+        let OwnerFractions { rate_quota, ceiling } = self.fractions;
+        self.rate_bucket.refill(now, plan.rate * rate_quota, plan.burst * rate_quota);
+        let ceiling_capacity = plan.ceiling_burst * ceiling - self.outstanding_units;
+        self.ceiling_bucket.refill(now, plan.ceiling_rate * ceiling, ceiling_capacity);
+    }
+
+    /// Returns whether the quota would be treated differently if it were new: units are spent or outstanding,
+    /// requests are in flight, or the demand is above the quota. A ceiling that is not full differs, although
+    /// a new one may be no fuller.
+    pub fn differs_from_new(&self, now: Millis, plan: &Plan) -> bool {
+        let OwnerFractions { rate_quota, ceiling } = self.fractions;
+        let mut refilled = *self;
+        refilled.refill(now, plan);
+        let has_spent_rate = refilled.rate_bucket.level < plan.burst * rate_quota;
+        let has_spent_ceiling =
+            plan.has_ceiling() && refilled.ceiling_bucket.level < plan.ceiling_burst * ceiling;
+        let has_requests_in_flight = plan.max_in_flight > 0 && self.in_flight > 0;
+        let is_open = has_requests_in_flight || self.outstanding_units > 0.0;
+        has_spent_rate || has_spent_ceiling || is_open || self.demand_ratio(now, plan) > 1.0
     }
 
     /// Records the units of a quota request as demand, with those that the member has shed since its last
--- a/limiter-core/src/quota/owner/grants.rs
+++ b/limiter-core/src/quota/owner/grants.rs
@@ -36,6 +36,13 @@
     pub is_settled: bool,
 }
 
+impl Grant {
+    /// Returns whether the request is included in [`OwnerQuota::in_flight`].
+    pub fn is_in_flight(&self) -> bool {
+        self.is_in_flight
+    }
+}
+
 impl OwnerQuota {
     /// Decides on a quota request and spends the granted units. Units that the member has already spent are
     /// always granted.
@@ -71,7 +78,7 @@
         let units = f64::from(request.units);
         let is_within_rate = plan.rate <= 0.0 || self.rate_bucket.level >= units;
         let is_within_in_flight = plan.max_in_flight == 0 || self.in_flight < plan.max_in_flight;
-        let ceiling_floor = -plan.ceiling_slack * self.ceiling_fraction;
+        let ceiling_floor = -plan.ceiling_slack * self.fractions.ceiling;
         let is_within_ceiling = !plan.has_ceiling() || self.ceiling_bucket.level - units >= ceiling_floor;
         is_within_rate && is_within_in_flight && is_within_ceiling
     }
--- a/limiter-core/src/quota/owner/mod.rs
+++ b/limiter-core/src/quota/owner/mod.rs
@@ -54,7 +54,7 @@
             .or_insert_with(|| OwnerQuota::new(context, plan, fractions));
         quota.last_used_at = context.now;
         let decision = self.decisions.entry(key).or_insert_with(|| {
-            quota.refill(context.now, plan, fractions.rate_quota);
+            quota.refill(context.now, plan);
             quota.record_demand(context.now, request);
             quota.decide(context.now, plan, request)
         });
--- a/limiter-core/src/quota/retention.rs
+++ b/limiter-core/src/quota/retention.rs
@@ -1,30 +1,65 @@
-//! How long members and owners retain an unused quota.
+//! How long members and owners retain an unused quota, and how many they retain at most.
+
+use std::cmp::Ordering;
+use std::collections::BTreeMap;
 
 use super::keys::QuotaKey;
 use crate::context::Context;
 use crate::event::Millis;
 
-/// Shortest retention of an unused quota in milliseconds, while at most [`FULL_RETENTION_QUOTAS`] are
-/// retained.
+/// Shortest retention of an unused quota in milliseconds.
 const IDLE_RETENTION_MS: Millis = 60_000.0;
 /// Retention of an unused quota as a multiple of the time in which its buckets refill from empty. Grants
 /// overdraw the bucket of the rate quota by one burst at most, so the bucket is full again after two refills,
 /// as the bucket of a new quota is: no customer gains units because its quota was dropped. The exceptions are
-/// a settlement that overdrew the bucket further, and a retention that was shortened. The same holds for the
+/// a settlement that overdrew the bucket further, and a quota that was dropped early. The same holds for the
 /// bucket of a ceiling, which is overdrawn by the slack at most: a new one refills from the start of the
 /// limiter on, not from the creation of the quota, so it is full as well once the limiter has run for long.
 const REFILL_RETENTION_FACTOR: f64 = 2.0;
-/// Number of quotas, about 3 MB of memory, up to which each is retained for its full time. Beyond that number
-/// the retention becomes shorter in proportion: a flood of new customers must not exhaust the memory.
-///
-/// The number is not a hard bound. With a steady `r` new customers per second and a full retention of 60 s,
-/// the number of quotas settles where `count = r * 60 * 10 000 / count`: at about 24 500 for 1000 new
-/// customers per second.
-const FULL_RETENTION_QUOTAS: f64 = 10_000.0;
+/// Number of quotas, about 4 MB of memory at a member that owns them too, beyond which quotas are dropped
+/// early: a flood of new customers must not exhaust the memory. The check is made once per control step.
+const MAX_QUOTAS: usize = 10_000;
+/// Number of quotas that are left when quotas are dropped early. Less than [`MAX_QUOTAS`], so that a flood
+/// does not make every control step search for the quotas to drop.
+const QUOTAS_AFTER_DROP: usize = MAX_QUOTAS / 8 * 7;
 
-/// Returns how long a quota is retained after its last use, while `count` quotas are retained in total.
-pub(super) fn retention_ms(context: &Context, key: QuotaKey, count: usize) -> Millis {
+/// Returns how long a quota is retained after its last use.
+pub(super) fn retention_ms(context: &Context, key: QuotaKey) -> Millis {
     let refill_ms = context.settings.plans[key.plan].refill_ms();
-    let full_retention_ms = IDLE_RETENTION_MS.max(REFILL_RETENTION_FACTOR * refill_ms);
-    full_retention_ms * (FULL_RETENTION_QUOTAS / count as f64).min(1.0)
+    IDLE_RETENTION_MS.max(REFILL_RETENTION_FACTOR * refill_ms)
+}
+
+/// What would be lost with the record of a quota.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct RecordValue {
+    /// Whether the record differs from that of a customer who is seen for the first time. If not, nothing is
+    /// lost with the record.
+    pub differs_from_new: bool,
+    /// Time of the last use.
+    pub last_used_at: Millis,
+}
+
+impl RecordValue {
+    fn compare(&self, other: &RecordValue) -> Ordering {
+        let by_content = self.differs_from_new.cmp(&other.differs_from_new);
+        by_content.then(self.last_used_at.total_cmp(&other.last_used_at))
+    }
+}
+
+/// Drops quotas if there are more than [`MAX_QUOTAS`]: first those whose record is like a new one, then those
+/// that have not been used for longest.
+pub(super) fn drop_excess_quotas<Q>(
+    quotas: &mut BTreeMap<QuotaKey, Q>,
+    value: impl Fn(QuotaKey, &Q) -> RecordValue,
+) {
+    if quotas.len() <= MAX_QUOTAS {
+        return;
+    }
+    let num_dropped = quotas.len() - QUOTAS_AFTER_DROP;
+    let mut ranked: Vec<(RecordValue, QuotaKey)> =
+        quotas.iter().map(|(key, quota)| (value(*key, quota), *key)).collect();
+    ranked.select_nth_unstable_by(num_dropped, |(one, _), (other, _)| one.compare(other));
+    for (_, key) in &ranked[..num_dropped] {
+        quotas.remove(key);
+    }
 }
--- a/limiter-core/tests/quota_owner.rs
+++ b/limiter-core/tests/quota_owner.rs
@@ -72,6 +72,7 @@
     next_id: RequestId,
     /// Units admitted for [`CustomerFlood::GREEDY_CUSTOMER`].
     greedy_units: u32,
+    requests_per_step: u32,
 }
 
 impl CustomerFlood {
@@ -81,16 +82,20 @@
     const STEPS_PER_S: u32 = 10;
 
     fn new() -> Self {
+        CustomerFlood::with_requests_per_step(Self::REQUESTS_PER_STEP)
+    }
+
+    fn with_requests_per_step(requests_per_step: u32) -> Self {
         let mut limiter = Limiter::new(settings_of_only_limiter(), 1, 0.0).expect("valid settings");
         let endpoints = (0..3).map(endpoint).collect();
         limiter.handle(0.0, endpoints_replaced(endpoints), &mut Vec::new());
-        CustomerFlood { limiter, now: 0.0, next_id: 0, greedy_units: 0 }
+        CustomerFlood { limiter, now: 0.0, next_id: 0, greedy_units: 0, requests_per_step }
     }
 
     /// Submits the requests of a tenth of a second, advances the clock and triggers the control step. Each
     /// request is from a new customer, except those of the greedy customer.
     fn step(&mut self) {
-        for n in 0..Self::REQUESTS_PER_STEP {
+        for n in 0..self.requests_per_step {
             self.next_id += 1;
             let is_greedy = n < Self::GREEDY_REQUESTS_PER_STEP;
             let customer = if is_greedy { Self::GREEDY_CUSTOMER } else { 1000 + u64::from(self.next_id) };
@@ -105,6 +110,31 @@
         let control_step = Event::TimerFired { token: TimerToken::ControlStep };
         self.limiter.handle(self.now, control_step, &mut Vec::new());
     }
+
+    /// Returns the units that the quota of the greedy customer allowed until now: a burst of 12 units, and 6
+    /// units per second.
+    fn greedy_quota(&self) -> u32 {
+        12 + (6.0 * self.now / 1000.0) as u32
+    }
+}
+
+/// Guards against memory that grows with the rate at which a client names new customers: a single client at
+/// full speed made a limiter use nearly all of its memory.
+#[test]
+fn the_number_of_records_does_not_grow_with_the_rate_of_new_customers() {
+    /// New customers in each control step: as many as a limiter can serve on a whole core.
+    const REQUESTS_PER_STEP: u32 = 2000;
+    const STEPS: u32 = 100;
+    let mut flood = CustomerFlood::with_requests_per_step(REQUESTS_PER_STEP);
+    for _ in 0..STEPS {
+        flood.step();
+        let counts = flood.limiter.record_counts();
+        assert!(counts.member_quotas <= 10_000, "{counts:?}");
+        assert!(counts.owned_quotas <= 10_000, "{counts:?}");
+        // The decisions of the last half second are retained in any case.
+        assert!(counts.decisions <= 10_000 + 6 * REQUESTS_PER_STEP as usize, "{counts:?}");
+    }
+    assert!(flood.greedy_units <= flood.greedy_quota(), "{} units admitted", flood.greedy_units);
 }
 
 /// In a flood of new customers, the quotas that have not been used for the longest time are dropped earlier,
@@ -123,12 +153,9 @@
         max_counts.decisions = max_counts.decisions.max(counts.decisions);
         assert_eq!(counts.requests, 0, "at step {step}");
     }
-    // Beyond 10,000 quotas the retention becomes shorter as their number grows.
     assert!(max_counts.member_quotas <= 26_000, "{max_counts:?}");
     assert!(max_counts.owned_quotas <= 26_000, "{max_counts:?}");
     // 1,020 requests per second, whose decisions are retained for about 10 s at most.
     assert!(max_counts.decisions <= 10 * 1020, "{max_counts:?}");
-    // A burst of 12 units, and 6 units per second.
-    let quota = 12 + 6 * SECONDS;
-    assert!(flood.greedy_units <= quota, "{} units admitted for the greedy customer", flood.greedy_units);
+    assert!(flood.greedy_units <= flood.greedy_quota(), "{} units admitted", flood.greedy_units);
 }
