Read a client's socket to its end before an attempt, not just 32 KiB of it

Callers saw: clients that sent half a megabyte of requests at once and left while the limiter was stopped for 0.2 s got their first request forwarded, more than 0.1 s after their close.

Cause: the check before an attempt reads 32 KiB. If all of its reads return bytes, the end of the connection may still come behind them, but the client counted as connected.

Change: the check has a third answer, unknown. The attempt then yields and checks again, up to 512 times (16 MiB), so that other clients are not held up.

--- a/limiter/src/engine/mod.rs
+++ b/limiter/src/engine/mod.rs
@@ -49,7 +49,7 @@
 use endpoint_table::EndpointTable;
 use pending::PendingRequests;
 pub use pending_response::PendingResponse;
-pub use ports::{ClientConnection, GossipTransport, Upstream};
+pub use ports::{ClientConnection, ClientPresence, GossipTransport, Upstream};
 pub use submission::DuplicateRequest;
 use timer_queue::TimerQueue;
 
--- a/limiter/src/engine/ports.rs
+++ b/limiter/src/engine/ports.rs
@@ -20,11 +20,22 @@
     fn close_idle(&self, server: &ServerId);
 }
 
+/// Whether a client is connected, as far as its connection has been read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ClientPresence {
+    /// All that has arrived has been read, and the client has not closed the connection.
+    Connected,
+    /// The client has closed or reset the connection.
+    Disconnected,
+    /// More has arrived than was read, and the end of the connection may come behind it.
+    Unknown,
+}
+
 /// The connection of a client whose request is pending.
 pub trait ClientConnection {
-    /// Returns whether the client has closed the connection. Reads the socket, in case a close has arrived
-    /// that was not read yet.
-    fn is_closed_by_client(&self) -> bool;
+    /// Returns whether the client is connected. Reads a bounded amount from the socket, in case a close has
+    /// arrived that was not read yet.
+    fn presence(&self) -> ClientPresence;
 }
 
 /// Sends gossip to other limiters.
--- a/limiter/src/engine/submission.rs
+++ b/limiter/src/engine/submission.rs
@@ -3,16 +3,21 @@
 use std::rc::Rc;
 
 use limiter_core::{Event, Millis, Request, RequestId};
+use tokio::task::yield_now;
 
 use super::pending::{Deadlines, InsertedRequest};
 use super::timer_queue::TimerKind;
-use super::{ClientConnection, Engine, PendingResponse};
+use super::{ClientConnection, ClientPresence, Engine, PendingResponse};
 use crate::messages::request::ForwardedRequest;
 use crate::observability::labels::ResponseOutcome;
 use crate::observability::metrics::Metrics;
 use crate::runtime::arrival::Arrival;
 use crate::runtime::duration;
 
+/// Highest number of checks for a disconnect before a client that keeps sending is treated as connected. Each
+/// check reads up to 32 KiB, so that all is read that the send and receive buffers of a connection hold.
+const MAX_PRESENCE_CHECKS: usize = 512;
+
 /// Why a request was not submitted: a request with the same correlation id is pending, and a server could not
 /// distinguish the two.
 #[derive(Debug)]
@@ -59,16 +64,25 @@
         self.state.borrow().limiter.retry_after_ms(request)
     }
 
-    /// Returns whether the client of a request still waits for its response. Reads the client's socket,
-    /// because a disconnect may not have been read yet if the process stalled, and records a disconnect that
-    /// it finds.
-    pub fn is_client_waiting(self: &Rc<Self>, id: RequestId) -> bool {
-        let Some(client) = self.state.borrow().pending.client(id) else { return false };
-        let is_closed = client.is_closed_by_client();
-        if is_closed {
-            self.record_client_disconnect(id);
+    /// Returns whether the client of a request still waits for its response. Reads the client's socket to
+    /// the end of what has arrived, because a disconnect may not have been read yet if the process stalled or
+    /// the client has sent much, and records a disconnect that it finds.
+    ///
+    /// Yields to other tasks between bounded reads. Awaited by the task of an attempt; cancelling only ends
+    /// the check.
+    pub async fn is_client_waiting(self: &Rc<Self>, id: RequestId) -> bool {
+        for _ in 0..MAX_PRESENCE_CHECKS {
+            let Some(client) = self.state.borrow().pending.client(id) else { return false };
+            match client.presence() {
+                ClientPresence::Connected => return true,
+                ClientPresence::Disconnected => {
+                    self.record_client_disconnect(id);
+                    return false;
+                }
+                ClientPresence::Unknown => yield_now().await,
+            }
         }
-        !is_closed
+        self.state.borrow().pending.contains(id)
     }
 
     /// Records that the client of a request has disconnected. Has no effect if the request is no longer
--- a/limiter/src/frontend/read_ahead/client_socket.rs
+++ b/limiter/src/frontend/read_ahead/client_socket.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use super::ReadAhead;
-use crate::engine::ClientConnection;
+use crate::engine::{ClientConnection, ClientPresence};
 use crate::frontend::connection_state::ConnectionState;
 
 /// The socket of a client whose request is open.
@@ -25,7 +25,7 @@
     pub fn has_pipelined_bytes(&self) -> bool {
         if self.state.awaits_response() {
             let watch = self.state.watch_for_disconnect();
-            self.read_ahead.borrow_mut().is_disconnected(&self.state);
+            self.read_ahead.borrow_mut().read_presence(&self.state);
             drop(watch);
         }
         self.read_ahead.borrow().has_bytes()
@@ -33,7 +33,7 @@
 }
 
 impl ClientConnection for ClientSocket {
-    fn is_closed_by_client(&self) -> bool {
-        self.read_ahead.borrow_mut().is_disconnected(&self.state)
+    fn presence(&self) -> ClientPresence {
+        self.read_ahead.borrow_mut().read_presence(&self.state)
     }
 }
--- a/limiter/src/frontend/read_ahead/mod.rs
+++ b/limiter/src/frontend/read_ahead/mod.rs
@@ -33,6 +33,7 @@
 use tokio::time::Instant;
 
 use super::connection_state::ConnectionState;
+use crate::engine::ClientPresence;
 use crate::net::Stream;
 use crate::runtime::arrival::{Arrival, ArrivalClock};
 use buffer::ReadAheadBuffer;
@@ -43,8 +44,8 @@
 /// Largest number of bytes in one read of a check for a disconnect. The buffer is on the stack, so that an
 /// idle connection needs no memory for it.
 const READ_CHUNK_BYTES: usize = 4096;
-/// Largest number of reads in one check for a disconnect. If all of them return bytes, the client is treated
-/// as connected.
+/// Largest number of reads in one check for a disconnect. If all of them return bytes, it is unknown whether
+/// the client is connected.
 const MAX_READS_PER_CHECK: usize = 8;
 
 /// A client's socket, and the bytes that were read from it ahead of hyper.
@@ -91,22 +92,22 @@
         Poll::Pending
     }
 
-    /// Returns whether the client has disconnected, without waiting. Reads ahead the bytes that have arrived.
-    /// Reads nothing unless the client is watched for a disconnect according to `state`: otherwise hyper
-    /// reads the socket itself.
-    fn is_disconnected(&mut self, state: &ConnectionState) -> bool {
+    /// Returns whether the client is connected, without waiting. Reads ahead the bytes that have arrived, up
+    /// to a bound. Reads nothing unless the client is watched for a disconnect according to `state`:
+    /// otherwise hyper reads the socket itself.
+    fn read_presence(&mut self, state: &ConnectionState) -> ClientPresence {
         let mut chunk = [0; READ_CHUNK_BYTES];
         for _ in 0..MAX_READS_PER_CHECK {
             if !state.is_watching_for_disconnect() {
-                return false;
+                return ClientPresence::Connected;
             }
             match self.socket.try_read(&mut chunk) {
                 Ok(length) if length > 0 => self.store(&chunk[..length], state),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return false,
-                _ => return true,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return ClientPresence::Connected,
+                _ => return ClientPresence::Disconnected,
             }
         }
-        false
+        ClientPresence::Unknown
     }
 
     /// Reads into `chunk` and returns the number of bytes read; 0 at the end of the stream.
--- a/limiter/src/upstream/attempt.rs
+++ b/limiter/src/upstream/attempt.rs
@@ -80,7 +80,7 @@
 ) -> Result<AttemptResult, AttemptError> {
     let address = engine.serving_address(&job.server).ok_or(AttemptError::NotServing)?;
     let mut connection = servers.get_connection(engine, &job.server, address).await?;
-    check_still_allowed(engine, job, address)?;
+    check_still_allowed(engine, job, address).await?;
     let request = build_request(job, address, job.server_deadline - engine.now())?;
     let response = connection.drive(async move |sender| exchange(sender, request).await).await?;
     // A server that has stopped serving must receive no further request on this connection. Such a connection
@@ -100,16 +100,19 @@
 /// duplicates. No new request is sent to a draining server, no request is forwarded for a client that has
 /// disconnected, and a request that may have been executed is not sent again after that window.
 ///
+/// The check of the client may wait, so it comes before the others.
+///
 /// # Errors
 /// [`AttemptError::Denied`] contains the reason.
-fn check_still_allowed(
+async fn check_still_allowed(
     engine: &Rc<Engine>,
     job: &AttemptJob,
     address: SocketAddr,
 ) -> Result<(), AttemptError> {
+    let is_client_waiting = engine.is_client_waiting(job.id.request).await;
     let now = engine.now();
     let facts = SendFacts {
-        is_client_waiting: engine.is_client_waiting(job.id.request),
+        is_client_waiting,
         is_serving: engine.serving_address(&job.server) == Some(address),
         begin_within_ms: job.latest_start - now,
         deadline_in_ms: job.deadline - now,
--- a/limiter/tests/disconnect_detection.rs
+++ b/limiter/tests/disconnect_detection.rs
@@ -24,7 +24,7 @@
     UnreadBytesCase { num_bytes: 12, is_half_closed: false },
     UnreadBytesCase { num_bytes: 12, is_half_closed: true },
     UnreadBytesCase { num_bytes: 20_000, is_half_closed: false },
-    // More than the 32 KiB that the limiter may always read ahead on each connection.
+    // More than the limiter may always read ahead on each connection.
     UnreadBytesCase { num_bytes: 300_000, is_half_closed: true },
 ];
 
@@ -112,14 +112,21 @@
     body_bytes: Option<usize>,
     /// Number of idle connections to the server when the burst begins.
     num_pooled_connections: usize,
+    /// Number of bytes, at least, that each client sends after its request: further requests.
+    pipelined_bytes: usize,
 }
 
-const BURSTS: [DisconnectingBurst; 5] = [
-    DisconnectingBurst { body_bytes: None, num_pooled_connections: 0 },
-    DisconnectingBurst { body_bytes: None, num_pooled_connections: 8 },
-    DisconnectingBurst { body_bytes: Some(5), num_pooled_connections: 0 },
-    DisconnectingBurst { body_bytes: Some(5), num_pooled_connections: 8 },
-    DisconnectingBurst { body_bytes: Some(40_000), num_pooled_connections: 8 },
+const BURSTS: [DisconnectingBurst; 8] = [
+    DisconnectingBurst { body_bytes: None, num_pooled_connections: 0, pipelined_bytes: 0 },
+    DisconnectingBurst { body_bytes: None, num_pooled_connections: 8, pipelined_bytes: 0 },
+    DisconnectingBurst { body_bytes: Some(5), num_pooled_connections: 0, pipelined_bytes: 0 },
+    DisconnectingBurst { body_bytes: Some(5), num_pooled_connections: 8, pipelined_bytes: 0 },
+    DisconnectingBurst { body_bytes: Some(40_000), num_pooled_connections: 8, pipelined_bytes: 0 },
+    // The end of the connection comes behind much that is unread, partly so much that it has not reached the
+    // limiter's host: requests of clients that have left were forwarded.
+    DisconnectingBurst { body_bytes: None, num_pooled_connections: 8, pipelined_bytes: 50_000 },
+    DisconnectingBurst { body_bytes: None, num_pooled_connections: 8, pipelined_bytes: 500_000 },
+    DisconnectingBurst { body_bytes: Some(5), num_pooled_connections: 0, pipelined_bytes: 1_500_000 },
 ];
 
 impl DisconnectingBurst {
@@ -184,7 +191,7 @@
     fn send_and_close(&self, limiter: &LimiterProcess) -> Vec<TcpStream> {
         let mut half_closed_clients = Vec::new();
         for number in 0..NUM_CLOSING_CLIENTS {
-            let request = self.request(number);
+            let request = self.request(number) + &self.pipelined_requests(number);
             match number % 3 {
                 0 => half_closed_clients.push(send_and_half_close(limiter, &request)),
                 1 => {
@@ -197,6 +204,12 @@
         half_closed_clients
     }
 
+    /// Returns further requests of a client that closes or half closes its connection.
+    fn pipelined_requests(&self, number: usize) -> String {
+        let request = request_with_long_timeout(&format!("c-{BURST_ID}-{number}-further"));
+        request.repeat(self.pipelined_bytes.div_ceil(request.len()))
+    }
+
     /// Sends a request on each of these connections and resets them by closing them.
     fn send_and_reset(&self, resetting_clients: Vec<TcpStream>) {
         for (number, mut client) in (NUM_CLOSING_CLIENTS..).zip(resetting_clients) {
