Reject an id that comes again after its client left, if it may have been executed

Callers saw: a client leaves before its answer while a server works on its request; the request comes again under the same X-Correlation-Id, and a server executes it a second time.

Cause: ids are told apart only while the first request is pending. With the disconnect the id was free, although the cancelled attempt may have been executed.

Ids that no server has received, or that are safe to repeat, may come again as before.

--- a/limiter/src/engine/attempts.rs
+++ b/limiter/src/engine/attempts.rs
@@ -19,7 +19,7 @@
     /// outcome is reported to the core in either case.
     pub fn record_attempt_end(self: &Rc<Self>, id: AttemptId, result: AttemptResult) {
         let mut state = self.state.borrow_mut();
-        let Some(started_at) = state.pending.record_attempt_end(id) else { return };
+        let Some(started_at) = state.pending.record_attempt_end(id, result.outcome) else { return };
         let mut request_finished = !state.pending.contains(id.request);
         if result.outcome == Outcome::Ok {
             if !request_finished {
--- a/limiter/src/engine/mod.rs
+++ b/limiter/src/engine/mod.rs
@@ -15,9 +15,11 @@
 //! | `readiness` | whether clients may send requests |
 //! | `timers`, `timer_queue` | fire timers; the queue of timers |
 //! | `pending`, `pending_response` | pending requests; the receiver of the final response to one of them |
+//! | `abandoned_ids` | correlation ids that must not be executed again |
 //! | `ports` | the traits that the layers around the engine implement |
 //! | `clock` | the clock of the core |
 
+mod abandoned_ids;
 mod actions;
 mod attempts;
 mod clock;
@@ -45,6 +47,7 @@
 use crate::observability::labels::Invariant;
 use crate::observability::metrics::Metrics;
 use crate::runtime::arrival::ArrivalClock;
+use abandoned_ids::AbandonedIds;
 use clock::Clock;
 use endpoint_table::EndpointTable;
 use pending::PendingRequests;
@@ -83,6 +86,7 @@
     actions: Vec<Action>,
     timers: TimerQueue,
     pending: PendingRequests,
+    abandoned_ids: AbandonedIds,
     endpoints: EndpointTable,
 }
 
@@ -95,6 +99,7 @@
             actions: Vec::new(),
             timers: TimerQueue::new(),
             pending: PendingRequests::default(),
+            abandoned_ids: AbandonedIds::default(),
             endpoints: EndpointTable::default(),
         }
     }
--- a/limiter/src/engine/pending.rs
+++ b/limiter/src/engine/pending.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use hyper::header::HeaderValue;
-use limiter_core::{Millis, Outcome, RequestId};
+use limiter_core::{Idempotency, Millis, Outcome, RequestId};
 use tokio::sync::oneshot;
 
 use super::ClientConnection;
@@ -30,6 +30,26 @@
     /// Number of attempts so far, including those that were not sent.
     num_attempts: u32,
     has_attempt_in_flight: bool,
+    /// Whether an attempt has ended after which the request may have been executed.
+    may_have_executed: bool,
+    idempotency: Idempotency,
+}
+
+impl PendingRequest {
+    /// Returns whether the request must not be executed by a server from now on, because it may have been
+    /// executed already.
+    fn must_not_be_repeated(&self) -> bool {
+        let may_have_executed = self.may_have_executed || self.has_attempt_in_flight;
+        may_have_executed && self.idempotency != Idempotency::Idempotent
+    }
+}
+
+/// A request that was removed without a response.
+pub struct AbandonedRequest {
+    /// Value of [`CORRELATION_ID`](crate::messages::request::CORRELATION_ID).
+    pub correlation_id: HeaderValue,
+    /// Whether a second execution of the request is not safe, and there may have been a first one.
+    pub must_not_be_repeated: bool,
 }
 
 /// A request that was inserted, and the receiver of its final response.
@@ -75,6 +95,7 @@
         content: ForwardedRequest,
         deadlines: Deadlines,
         client: Rc<dyn ClientConnection>,
+        idempotency: Idempotency,
     ) -> Option<InsertedRequest> {
         if !self.correlation_ids.insert(content.correlation_id.clone()) {
             return None;
@@ -89,6 +110,8 @@
             client,
             num_attempts: 0,
             has_attempt_in_flight: false,
+            may_have_executed: false,
+            idempotency,
         };
         self.requests.insert(id, request);
         Some(InsertedRequest { id, response: receiver })
@@ -109,9 +132,13 @@
         self.requests.get(&id).map(|request| request.client.clone())
     }
 
-    /// Removes a request without a response. Returns whether the request was pending.
-    pub fn remove(&mut self, id: RequestId) -> bool {
-        self.take(id).is_some()
+    /// Removes a request without a response. Returns `None` if the request was not pending.
+    pub fn remove(&mut self, id: RequestId) -> Option<AbandonedRequest> {
+        let request = self.take(id)?;
+        Some(AbandonedRequest {
+            correlation_id: request.content.correlation_id.clone(),
+            must_not_be_repeated: request.must_not_be_repeated(),
+        })
     }
 
     /// Sends the final response to a request, and removes the request. Returns whether the request was
@@ -155,10 +182,11 @@
 
     /// Records that an attempt has ended, and returns when the attempt was started. Returns `None` if the
     /// attempt was not in flight.
-    pub fn record_attempt_end(&mut self, id: AttemptId) -> Option<Millis> {
+    pub fn record_attempt_end(&mut self, id: AttemptId, outcome: Outcome) -> Option<Millis> {
         let attempt = self.in_flight.remove(&id)?;
         if let Some(request) = self.requests.get_mut(&id.request) {
             request.has_attempt_in_flight = false;
+            request.may_have_executed |= !outcome.never_executed();
         }
         Some(attempt.started_at)
     }
--- a/limiter/src/engine/submission.rs
+++ b/limiter/src/engine/submission.rs
@@ -5,7 +5,7 @@
 use limiter_core::{Event, Millis, Request, RequestId};
 use tokio::task::yield_now;
 
-use super::pending::{Deadlines, InsertedRequest};
+use super::pending::{AbandonedRequest, Deadlines, InsertedRequest};
 use super::timer_queue::TimerKind;
 use super::{ClientConnection, ClientPresence, Engine, PendingResponse};
 use crate::messages::request::ForwardedRequest;
@@ -18,10 +18,17 @@
 /// check reads up to 32 KiB, so that all is read that the send and receive buffers of a connection hold.
 const MAX_PRESENCE_CHECKS: usize = 512;
 
-/// Why a request was not submitted: a request with the same correlation id is pending, and a server could not
-/// distinguish the two.
-#[derive(Debug)]
-pub struct DuplicateRequest;
+/// Why a request was not submitted: a server could not distinguish it from an earlier one with the same
+/// correlation id. The message is the body of the response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum DuplicateRequest {
+    /// The earlier request is pending.
+    #[error("a request with this X-Correlation-Id is open")]
+    Pending,
+    /// The client of the earlier request disconnected, and the request may have been executed.
+    #[error("a request with this X-Correlation-Id may have been executed")]
+    MayHaveExecuted,
+}
 
 impl Engine {
     /// Submits a client's request.
@@ -32,7 +39,8 @@
     /// After a stall of the process, that time is earlier.
     ///
     /// # Errors
-    /// [`DuplicateRequest`] if a request with the same correlation id is pending.
+    /// [`DuplicateRequest`] if a request with the same correlation id is pending, or may have been executed
+    /// for a client that has disconnected.
     pub fn submit(
         self: &Rc<Self>,
         content: ForwardedRequest,
@@ -47,8 +55,12 @@
         let server_deadline = deadline - duration::to_ms(arrival.possible_wait());
         let deadlines = Deadlines { deadline, server_deadline };
         let correlation_id = content.correlation_id.clone();
-        let InsertedRequest { id, response } =
-            state.pending.insert(content, deadlines, client).ok_or(DuplicateRequest)?;
+        if state.abandoned_ids.contains(&correlation_id, now) {
+            return Err(DuplicateRequest::MayHaveExecuted);
+        }
+        let idempotency = self.config.settings.classes[request.class].idempotency;
+        let inserted = state.pending.insert(content, deadlines, client, idempotency);
+        let InsertedRequest { id, response } = inserted.ok_or(DuplicateRequest::Pending)?;
         tracing::debug!(request = id, ?correlation_id, waited_ms, "request submitted");
         self.set_timer(&mut state, deadline, TimerKind::Deadline(id));
         request.id = id;
@@ -89,10 +101,13 @@
     /// pending.
     pub(super) fn record_client_disconnect(self: &Rc<Self>, id: RequestId) {
         let mut state = self.state.borrow_mut();
-        if state.pending.remove(id) {
-            tracing::debug!(request = id, "client disconnected");
-            Metrics::count(&self.metrics.responses, ResponseOutcome::ClientDisconnected);
-            self.dispatch_event(&mut state, Event::ClientDisconnected { id });
+        let Some(abandoned) = state.pending.remove(id) else { return };
+        let AbandonedRequest { correlation_id, must_not_be_repeated } = abandoned;
+        tracing::debug!(request = id, must_not_be_repeated, "client disconnected");
+        if must_not_be_repeated {
+            state.abandoned_ids.insert(&correlation_id, self.now());
         }
+        Metrics::count(&self.metrics.responses, ResponseOutcome::ClientDisconnected);
+        self.dispatch_event(&mut state, Event::ClientDisconnected { id });
     }
 }
--- a/limiter/src/frontend/request/handler.rs
+++ b/limiter/src/frontend/request/handler.rs
@@ -36,9 +36,9 @@
     /// The body is invalid, or did not arrive.
     #[error(transparent)]
     Body(#[from] RequestBodyError),
-    /// A request with the same correlation id is pending.
-    #[error("a request with this X-Correlation-Id is open")]
-    Duplicate,
+    /// A server could not distinguish the request from an earlier one.
+    #[error(transparent)]
+    Duplicate(#[from] DuplicateRequest),
     /// The request is valid as far as it was read, and client connections are scarce. The client may send it
     /// again.
     #[error("too many connections")]
@@ -56,7 +56,7 @@
         match self {
             RequestError::Head(error) => error.status(),
             RequestError::Body(error) => error.status(),
-            RequestError::Duplicate => StatusCode::CONFLICT,
+            RequestError::Duplicate(_) => StatusCode::CONFLICT,
             RequestError::Shed { .. } => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -156,8 +156,8 @@
     /// Receives and validates a request that began to arrive at `started_at`, and submits it.
     ///
     /// # Errors
-    /// [`RequestError`] if the request is invalid, does not arrive in time, or has the correlation id of a
-    /// pending request.
+    /// [`RequestError`] if the request is invalid, does not arrive in time, or has the correlation id of an
+    /// earlier request that is pending or may have been executed.
     async fn receive_and_submit(
         &self,
         request: Request<Incoming>,
@@ -181,9 +181,8 @@
             idempotency_key: head.idempotency_key,
             body,
         };
-        self.engine
-            .submit(forwarded, head.request, self.state.last_arrival(), self.client.clone())
-            .map_err(|DuplicateRequest| RequestError::Duplicate)
+        let arrival = self.state.last_arrival();
+        Ok(self.engine.submit(forwarded, head.request, arrival, self.client.clone())?)
     }
 
     /// Receives the body of a request that began to arrive at `started_at`. The body is read before any other
--- a/limiter/src/observability/labels.rs
+++ b/limiter/src/observability/labels.rs
@@ -73,7 +73,7 @@
         MethodNotAllowed => "method_not_allowed",
         /// 408: the request did not arrive completely in time.
         RequestTimeout => "request_timeout",
-        /// 409: a request with the same correlation id is pending.
+        /// 409: a request with the same correlation id is pending, or may have been executed.
         Conflict => "conflict",
         /// 411: a body has no declared length.
         LengthRequired => "length_required",
