Do not reuse connections to the old process of a server that has restarted

Callers saw: a server restarts at its address while a request is in flight at its old process. The response returns the connection to the pool, and the next request is sent to the old process.

Cause: an attempt compared the address of the server with the one that it began with, but not the announced start. The idle connections are closed when a restart is announced; this one was not idle then.

Change: the address and the start are one value, ServingProcess. It has to be unchanged for an attempt to be written and for its connection to be pooled.

Result: the new test fails before (one connection for both requests) and passes. An attempt whose server restarts during the connect is now not sent; no test counts what that costs.

--- a/limiter-core/src/rules/attempts.rs
+++ b/limiter-core/src/rules/attempts.rs
@@ -107,8 +107,8 @@
     /// Whether the client waits for a response: the request has no final response, and the client has not
     /// disconnected.
     pub is_client_waiting: bool,
-    /// Whether the chosen server accepts requests at the address of the connection, even if the process of
-    /// the server has restarted since the server was chosen.
+    /// Whether the process that the connection was opened to accepts requests: the server has neither moved
+    /// nor restarted since.
     pub is_serving: bool,
     /// Time in milliseconds within which the attempt has to begin; negative once this time has passed.
     pub begin_within_ms: Millis,
--- a/limiter/src/engine/attempts.rs
+++ b/limiter/src/engine/attempts.rs
@@ -61,7 +61,7 @@
             let detail = format_args!("request {request}: attempt not sent, because another is in flight");
             self.metrics.record_violation(Invariant::OneAttemptAtATime, &detail);
         }
-        if attempt.another_in_flight || state.endpoints.serving_address(&server).is_none() {
+        if attempt.another_in_flight || state.endpoints.serving_process(&server).is_none() {
             state.events.push_back(not_sent(attempt.id));
             return;
         }
--- a/limiter/src/engine/endpoint_table.rs
+++ b/limiter/src/engine/endpoint_table.rs
@@ -13,6 +13,16 @@
 /// log queue.
 const MAX_LOGGED_CHANGES: usize = 64;
 
+/// One process of a server that accepts requests. A server that restarts is another process, also at the same
+/// address.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ServingProcess {
+    /// The address on which the process listens.
+    pub address: SocketAddr,
+    /// When the process started, as announced in Unix milliseconds; 0 if that was long ago.
+    started_at: Millis,
+}
+
 /// A server on the installed list.
 #[derive(Clone, Copy)]
 struct InstalledEndpoint {
@@ -44,10 +54,10 @@
 }
 
 impl EndpointTable {
-    /// Returns the address of a server, if the server is serving.
-    pub fn serving_address(&self, server: &ServerId) -> Option<SocketAddr> {
+    /// Returns the process of a server, if the server is serving.
+    pub fn serving_process(&self, server: &ServerId) -> Option<ServingProcess> {
         let installed = self.endpoints.get(server).filter(|installed| installed.is_serving)?;
-        Some(installed.address)
+        Some(ServingProcess { address: installed.address, started_at: installed.started_at })
     }
 
     /// Returns whether any server is serving.
--- a/limiter/src/engine/mod.rs
+++ b/limiter/src/engine/mod.rs
@@ -36,7 +36,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use limiter_core::{Action, Event, Limiter, Millis, ServerId, SettingsError};
@@ -50,6 +49,7 @@
 use abandoned_ids::AbandonedIds;
 use clock::Clock;
 use endpoint_table::EndpointTable;
+pub use endpoint_table::ServingProcess;
 use pending::PendingRequests;
 pub use pending_response::PendingResponse;
 pub use ports::{ClientConnection, ClientPresence, GossipTransport, Upstream};
@@ -155,9 +155,9 @@
         self.clock.now()
     }
 
-    /// Returns the address of a server, if the server is serving.
-    pub fn serving_address(&self, server: &ServerId) -> Option<SocketAddr> {
-        self.state.borrow().endpoints.serving_address(server)
+    /// Returns the process of a server, if the server is serving.
+    pub fn serving_process(&self, server: &ServerId) -> Option<ServingProcess> {
+        self.state.borrow().endpoints.serving_process(server)
     }
 
     /// Logs all counters, one event for each.
--- a/limiter/src/upstream/attempt.rs
+++ b/limiter/src/upstream/attempt.rs
@@ -14,7 +14,7 @@
 use super::connection::{ConnectError, RequestSender};
 use super::response::ServerResponse;
 use super::servers::Servers;
-use crate::engine::Engine;
+use crate::engine::{Engine, ServingProcess};
 use crate::messages::attempt::{AttemptJob, AttemptResult};
 use crate::messages::body::{read_body, BodyError};
 use crate::messages::request::{CORRELATION_ID, IDEMPOTENCY_KEY, TIME_LEFT};
@@ -78,15 +78,15 @@
     engine: &Rc<Engine>,
     job: &AttemptJob,
 ) -> Result<AttemptResult, AttemptError> {
-    let address = engine.serving_address(&job.server).ok_or(AttemptError::NotServing)?;
-    let mut connection = servers.get_connection(engine, &job.server, address).await?;
-    check_still_allowed(engine, job, address).await?;
-    let request = build_request(job, address, job.server_deadline - engine.now())?;
+    let process = engine.serving_process(&job.server).ok_or(AttemptError::NotServing)?;
+    let mut connection = servers.get_connection(engine, &job.server, process.address).await?;
+    check_still_allowed(engine, job, process).await?;
+    let request = build_request(job, process.address, job.server_deadline - engine.now())?;
     let response = connection.drive(async move |sender| exchange(sender, request).await).await?;
-    // A server that has stopped serving must receive no further request on this connection. Such a connection
-    // is dropped here, because it was not in the pool when the idle connections were closed. Only the address
-    // of the server is compared, not its start time.
-    let is_serving = engine.serving_address(&job.server) == Some(address);
+    // A process that has stopped serving or was replaced must receive no further request on this connection.
+    // Such a connection is dropped here, because it was not in the pool when the idle connections were
+    // closed.
+    let is_serving = engine.serving_process(&job.server) == Some(process);
     if is_serving && connection.is_alive() {
         servers.put_idle(&job.server, connection);
     }
@@ -107,13 +107,13 @@
 async fn check_still_allowed(
     engine: &Rc<Engine>,
     job: &AttemptJob,
-    address: SocketAddr,
+    process: ServingProcess,
 ) -> Result<(), AttemptError> {
     let is_client_waiting = engine.is_client_waiting(job.id.request).await;
     let now = engine.now();
     let facts = SendFacts {
         is_client_waiting,
-        is_serving: engine.serving_address(&job.server) == Some(address),
+        is_serving: engine.serving_process(&job.server) == Some(process),
         begin_within_ms: job.latest_start - now,
         deadline_in_ms: job.deadline - now,
     };
--- a/limiter/tests/connection_pool.rs
+++ b/limiter/tests/connection_pool.rs
@@ -93,3 +93,25 @@
     assert_eq!(server.num_connections(), 2);
     wait_for("the connection to the removed server to be closed", || server.num_closed_connections() == 1);
 }
+
+/// Time of the restart of a server, in Unix milliseconds. Long before the test, so that the server is warm.
+const RESTARTED_AT_MS: u64 = 1_000_000;
+
+/// Guards against work that is sent to the old process of a server: the restart of the server at the same
+/// address is announced while a request is in flight at its old process. That connection is not pooled, and
+/// the next request is sent on a new one.
+#[test]
+fn connections_to_the_old_process_of_a_restarted_server_are_not_reused() {
+    let InFlightRequest { servers, limiter, mut client } = InFlightRequest::start_at_slow_server();
+    let server = &servers[0];
+    let restarted = serving("s-1", server).started_at_ms(RESTARTED_AT_MS);
+    // The state of another server shows that the list has been applied: a restart is not logged.
+    let other = draining_at("s-2", server.addr);
+    limiter.discovery.send(&list_change(2, &[restarted, other]));
+    limiter.wait_until_logged("state=draining");
+    assert_eq!(read_response(&mut client).status, 200);
+    sleep_ms(REQUEST_INTERVAL_MS);
+    assert_eq!(limiter.request(&idempotent_request()).status, 200);
+    assert_eq!(server.num_connections(), 2);
+    wait_for("the connection to the old process to be closed", || server.num_closed_connections() == 1);
+}
--- a/limiter/tests/stubs/endpoint_list.rs
+++ b/limiter/tests/stubs/endpoint_list.rs
@@ -10,6 +10,7 @@
     id: &'static str,
     addr: SocketAddr,
     state: &'static str,
+    started_ms: u64,
 }
 
 /// Returns the entry of a serving stub server.
@@ -19,17 +20,17 @@
 
 /// Returns the entry of a serving server at this address.
 pub fn serving_at(id: &'static str, addr: SocketAddr) -> Endpoint {
-    Endpoint { id, addr, state: "active" }
+    Endpoint { id, addr, state: "active", started_ms: 0 }
 }
 
 /// Returns the entry of a draining server at this address.
 pub fn draining_at(id: &'static str, addr: SocketAddr) -> Endpoint {
-    Endpoint { id, addr, state: "leaving" }
+    Endpoint { id, addr, state: "leaving", started_ms: 0 }
 }
 
 /// Returns the entry of a removed server, which had this address.
 pub fn removed_at(id: &'static str, addr: SocketAddr) -> Endpoint {
-    Endpoint { id, addr, state: "left" }
+    Endpoint { id, addr, state: "left", started_ms: 0 }
 }
 
 /// Returns a complete list, with its line end. The limiter removes servers that are not on the list.
@@ -49,10 +50,16 @@
 }
 
 impl Endpoint {
+    /// Sets the time at which the process of the server started, in Unix milliseconds. By default, the server
+    /// started long ago.
+    pub fn started_at_ms(self, started_ms: u64) -> Endpoint {
+        Endpoint { started_ms, ..self }
+    }
+
     fn to_json(&self) -> String {
-        let Endpoint { id, addr, state } = self;
+        let Endpoint { id, addr, state, started_ms } = self;
         let identity_fields = format!(r#""id":"{id}","addr":"{addr}","zone":"a","kind":"m","cell":0"#);
-        let state_fields = format!(r#""state":"{state}","weight":1.0,"started_ms":0"#);
+        let state_fields = format!(r#""state":"{state}","weight":1.0,"started_ms":{started_ms}"#);
         format!("{{{identity_fields},{state_fields}}}")
     }
 }
