End a server when a process with a later start is announced at its address

Callers saw: a server is gone, discovery has not noticed, and another one comes up at its address. Requests for the old id go to the new process as if it had been up for long, and also while the new one drains.

Cause: each announced id is installed by itself; nothing compared the addresses of two ids. A process cannot listen at the address of another, so the one that started earlier has ended.

Change: an update of the list ends such servers: as if their removal had been announced, or by leaving them out of a complete list. Equal starts cannot be told apart, and both servers stay.

--- a/limiter/src/engine/endpoint_table.rs
+++ b/limiter/src/engine/endpoint_table.rs
@@ -45,6 +45,17 @@
     }
 }
 
+/// A server on the installed list, with its process.
+#[derive(Clone, Copy)]
+pub struct InstalledProcess<'t> {
+    /// Id of the server.
+    pub server: &'t ServerId,
+    /// The address on which the process listens.
+    pub address: SocketAddr,
+    /// When the process started, as announced in Unix milliseconds; 0 if that was long ago.
+    pub started_at: Millis,
+}
+
 /// The servers on the installed list, by id.
 #[derive(Default)]
 pub struct EndpointTable {
@@ -60,6 +71,15 @@
         Some(ServingProcess { address: installed.address, started_at: installed.started_at })
     }
 
+    /// Returns the processes of all installed servers.
+    pub fn processes(&self) -> impl Iterator<Item = InstalledProcess<'_>> {
+        self.endpoints.iter().map(|(server, installed)| InstalledProcess {
+            server,
+            address: installed.address,
+            started_at: installed.started_at,
+        })
+    }
+
     /// Returns whether any server is serving.
     pub fn any_serving(&self) -> bool {
         self.endpoints.values().any(|installed| installed.is_serving)
--- a/limiter/src/engine/endpoint_updates.rs
+++ b/limiter/src/engine/endpoint_updates.rs
@@ -5,6 +5,7 @@
 
 use limiter_core::{Endpoint, Event, Millis};
 
+use super::replaced_servers::end_replaced_servers;
 use super::Engine;
 use crate::endpoints::EndpointUpdate;
 use crate::runtime::duration;
@@ -80,13 +81,14 @@
         self.apply_endpoints(list, |endpoints| Event::EndpointsConfigured { endpoints });
     }
 
-    /// Installs an update in the endpoint table, and passes its servers to the core as an event.
+    /// Installs an update in the endpoint table without the servers that others have replaced, and passes its servers to the core as an event.
     fn apply_endpoints(
         self: &Rc<Self>,
-        update: EndpointUpdate,
+        mut update: EndpointUpdate,
         event: impl FnOnce(Arc<[Endpoint]>) -> Event,
     ) {
         let mut state = self.state.borrow_mut();
+        end_replaced_servers(&mut update, &state.endpoints);
         state.endpoints.apply(&update, self.upstream.as_ref());
         let endpoints = update.endpoints.into_iter().map(|resolved| resolved.endpoint).collect();
         self.dispatch_event(&mut state, event(endpoints));
--- a/limiter/src/engine/mod.rs
+++ b/limiter/src/engine/mod.rs
@@ -12,6 +12,7 @@
 //! | `actions` | applies the actions that the limiter returns |
 //! | `attempts` | starts attempts at servers and records their ends |
 //! | `endpoint_updates`, `endpoint_table` | install endpoint lists; the installed list with its addresses |
+//! | `replaced_servers` | ends servers whose address a later process has taken |
 //! | `readiness` | whether clients may send requests |
 //! | `timers`, `timer_queue` | fire timers; the queue of timers |
 //! | `pending`, `pending_response` | pending requests; the receiver of the final response to one of them |
@@ -30,6 +31,7 @@
 mod pending_response;
 mod ports;
 mod readiness;
+mod replaced_servers;
 mod submission;
 mod timer_queue;
 mod timers;
--- a/limiter/tests/endpoint_list.rs
+++ b/limiter/tests/endpoint_list.rs
@@ -110,6 +110,36 @@
 /// entries while all of them are being replaced.
 const MAX_LISTED_SERVERS: usize = 6400;
 
+/// Start of the process that replaces another one at its address, in Unix milliseconds.
+const SUCCESSOR_STARTED_AT_MS: u64 = 1_000_000;
+
+/// Guards against a process that is taken for one that has gone: a server with another id is announced at the
+/// address of a server that is still listed. The later process has replaced the earlier one, whose id must
+/// receive nothing from then on, in particular not while the successor drains.
+#[test]
+fn a_server_ends_when_a_later_one_is_announced_at_its_address() {
+    for is_complete in [false, true] {
+        let server = StubServer::responding_with("fine");
+        let limiter = LimiterProcess::in_front_of(&server);
+        let successor = serving("s-2", &server).started_at_ms(SUCCESSOR_STARTED_AT_MS);
+        let draining = draining_at("s-2", server.addr).started_at_ms(SUCCESSOR_STARTED_AT_MS);
+        if is_complete {
+            let replaced = serving("s-1", &server);
+            limiter.discovery.send(&complete_list(2, &[successor, replaced.clone()]));
+            limiter.wait_until_logged("server=s-2");
+            limiter.discovery.send(&complete_list(3, &[replaced, draining]));
+        } else {
+            limiter.discovery.send(&list_change(2, &[successor]));
+            limiter.wait_until_logged("server=s-2");
+            limiter.discovery.send(&list_change(3, &[draining]));
+        }
+        limiter.wait_until_logged("state=draining");
+        server.assert_receives_nothing_during(|| {
+            assert_eq!(limiter.request(&idempotent_request()).status, 429, "complete: {is_complete}");
+        });
+    }
+}
+
 /// Discovery sends the complete list of the largest fleet, indented, which is the largest text that the
 /// limiter has to buffer.
 #[test]
