Read the entries of an endpoint list one by one, not as JSON values of a whole list

A list was deserialized into JSON values before its entries were read, and the list under `known` stayed in memory in that form until the end of the process.

Change: each entry is read as soon as its value has been parsed, and `known` is kept as text until it is parsed. What counts as a valid entry is unchanged.

--- a/limiter/src/config/file.rs
+++ b/limiter/src/config/file.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use simulator_adapter::InstanceSettings;
 
 /// The JSON object in the file that `ROUTER_CONFIG` names. Unknown keys are ignored.
@@ -28,10 +29,10 @@
     /// one peer at a time.
     #[serde(rename = "peers_all")]
     _peers_all: Option<SocketAddr>,
-    /// The last endpoint list that this limiter knew. Kept as a JSON value and parsed separately, because an
+    /// The last endpoint list that this limiter knew. Kept as JSON text and parsed separately, because an
     /// invalid list must not make the rest of the file unusable.
     #[serde(rename = "known")]
-    pub known_endpoints: Option<serde_json::Value>,
+    pub known_endpoints: Option<Box<RawValue>>,
     /// The settings of the core, in the JSON form that the simulator uses.
     pub settings: InstanceSettings,
 }
--- a/limiter/src/config/mod.rs
+++ b/limiter/src/config/mod.rs
@@ -21,6 +21,7 @@
 use std::net::SocketAddr;
 
 use limiter_core::{Millis, Settings};
+use serde_json::value::RawValue;
 use simulator_adapter::{CoreSettings, NameIndex};
 
 use crate::endpoints::EndpointList;
@@ -143,7 +144,7 @@
             max_read_ahead_bytes: connections.read_ahead_bytes,
             peer_listen: file.peer_listen,
             peers: file.peers,
-            known_endpoints: file.known_endpoints.and_then(parse_known_endpoints),
+            known_endpoints: file.known_endpoints.as_deref().and_then(parse_known_endpoints),
             server_connection_idle_ms,
             shutdown_accept_ms: shutdown.accept_ms,
             shutdown_response_ms: shutdown.response_ms,
@@ -190,6 +191,6 @@
 
 /// Parses the endpoint list of the configuration. An invalid list is ignored, because discovery announces the
 /// complete list.
-fn parse_known_endpoints(list: serde_json::Value) -> Option<EndpointList> {
-    serde_json::from_value(list).ok()
+fn parse_known_endpoints(list: &RawValue) -> Option<EndpointList> {
+    serde_json::from_str(list.get()).ok()
 }
--- a/limiter/src/endpoints/entry.rs
+++ b/limiter/src/endpoints/entry.rs
@@ -1,9 +1,10 @@
 //! Reads a single entry of the endpoint list.
 
+use std::fmt;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use limiter_core::{Endpoint, EndpointState, Millis};
-use serde::de::{DeserializeOwned, Deserializer};
+use serde::de::{DeserializeOwned, Deserializer, SeqAccess, Visitor};
 use serde::Deserialize;
 use serde_json::Value;
 
@@ -21,8 +22,8 @@
 const REMOVED: &str = "left";
 
 /// An entry in discovery's JSON form. A field whose value has the wrong type is treated as absent.
-#[derive(Deserialize)]
-struct Entry {
+#[derive(Deserialize, Clone)]
+pub struct Entry {
     #[serde(default, deserialize_with = "lenient")]
     id: Option<String>,
     #[serde(default, deserialize_with = "lenient")]
@@ -49,30 +50,66 @@
     Ok(serde_json::from_value(value).ok())
 }
 
-/// Reads an entry. Returns `None` if the id or the state is missing, or if a serving server has no valid
-/// address. The id and the state are sufficient for the removal of a server, so that no other field can
-/// prevent it.
-pub fn resolve(value: &Value, zone_index: impl Fn(&str) -> Option<u32>) -> Option<ResolvedEndpoint> {
+/// An entry that has been read; `None` if it is not an object.
+pub type ReadEntry = Option<Entry>;
+
+/// Reads the entries of a list one by one: the JSON values of a whole list would need several times the
+/// memory of its entries.
+///
+/// # Errors
+/// Those of the deserializer, if the list is not an array of JSON values.
+pub fn read_all<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<ReadEntry>, D::Error> {
+    struct EntryVisitor;
+
+    impl<'de> Visitor<'de> for EntryVisitor {
+        type Value = Vec<ReadEntry>;
+
+        fn expecting(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+            formatter.write_str("an array of entries")
+        }
+
+        fn visit_seq<A: SeqAccess<'de>>(self, mut values: A) -> Result<Vec<ReadEntry>, A::Error> {
+            let mut entries = Vec::new();
+            while let Some(value) = values.next_element::<Value>()? {
+                entries.push(read(&value));
+            }
+            Ok(entries)
+        }
+    }
+
+    deserializer.deserialize_seq(EntryVisitor)
+}
+
+/// Reads an entry.
+fn read(value: &Value) -> ReadEntry {
     // serde would also accept an array that contains the fields in the order of their declaration.
     if !value.is_object() {
         return None;
     }
-    let entry = Entry::deserialize(value).ok()?;
-    let state = parse_state(&entry.state?);
-    let address = entry.address.and_then(|address| address.parse().ok());
-    let address = match state {
-        EndpointState::Serving => address?,
-        _ => address.unwrap_or(NO_ADDRESS),
-    };
-    let endpoint = Endpoint {
-        server: entry.id?.into(),
-        zone: entry.zone.and_then(|zone| zone_index(&zone)).unwrap_or(FOREIGN_ZONE),
-        cell: entry.cell.unwrap_or(0),
-        state,
-        weight: entry.weight.unwrap_or(DEFAULT_WEIGHT),
-        started_at: entry.started_at.unwrap_or(0.0),
-    };
-    Some(ResolvedEndpoint { endpoint, address })
+    Entry::deserialize(value).ok()
+}
+
+impl Entry {
+    /// Returns the server of the entry. Returns `None` if the id or the state is missing, or if a serving
+    /// server has no valid address. The id and the state are sufficient for the removal of a server, so that
+    /// no other field can prevent it.
+    pub fn resolve(&self, zone_index: impl Fn(&str) -> Option<u32>) -> Option<ResolvedEndpoint> {
+        let state = parse_state(self.state.as_deref()?);
+        let address = self.address.as_deref().and_then(|address| address.parse().ok());
+        let address = match state {
+            EndpointState::Serving => address?,
+            _ => address.unwrap_or(NO_ADDRESS),
+        };
+        let endpoint = Endpoint {
+            server: self.id.as_deref()?.into(),
+            zone: self.zone.as_deref().and_then(zone_index).unwrap_or(FOREIGN_ZONE),
+            cell: self.cell.unwrap_or(0),
+            state,
+            weight: self.weight.unwrap_or(DEFAULT_WEIGHT),
+            started_at: self.started_at.unwrap_or(0.0),
+        };
+        Some(ResolvedEndpoint { endpoint, address })
+    }
 }
 
 /// Returns the state with this name. An unknown state is treated as draining, so that no new request is sent
--- a/limiter/src/endpoints/entry/tests.rs
+++ b/limiter/src/endpoints/entry/tests.rs
@@ -6,7 +6,10 @@
 /// serving one.
 #[test]
 fn valid_fields_of_a_malformed_entry_are_used() {
-    let read = |text: &str| resolve(&serde_json::from_str(text).expect("JSON"), |_| Some(1));
+    let read = |text: &str| {
+        let entry = read(&serde_json::from_str(text).expect("JSON"))?;
+        entry.resolve(|_| Some(1))
+    };
     let serving = read(r#"{"id":"s","addr":"127.0.0.1:1","state":"active","weight":"x","started_ms":null}"#);
     let serving = serving.expect("an entry").endpoint;
     assert_eq!((serving.weight, serving.started_at, serving.state), (1.0, 0.0, EndpointState::Serving));
--- a/limiter/src/endpoints/mod.rs
+++ b/limiter/src/endpoints/mod.rs
@@ -9,9 +9,10 @@
 
 use limiter_core::{Endpoint, EndpointState, ServerId};
 use serde::Deserialize;
-use serde_json::Value;
 use simulator_adapter::NameIndex;
 
+use entry::ReadEntry;
+
 /// A complete endpoint list or the changes to one, in discovery's JSON form.
 #[derive(Deserialize, Clone)]
 pub struct EndpointList {
@@ -19,8 +20,8 @@
     pub version: u64,
     #[serde(rename = "full", default)]
     complete: bool,
-    #[serde(rename = "servers")]
-    entries: Vec<Value>,
+    #[serde(rename = "servers", deserialize_with = "entry::read_all")]
+    entries: Vec<ReadEntry>,
 }
 
 /// A server and its address.
@@ -51,7 +52,7 @@
         let mut endpoints = Vec::with_capacity(self.entries.len());
         let mut invalid_entries = 0;
         for entry in &self.entries {
-            match entry::resolve(entry, zone_index) {
+            match entry.as_ref().and_then(|entry| entry.resolve(zone_index)) {
                 Some(endpoint) => endpoints.push(endpoint),
                 None => invalid_entries += 1,
             }
