Drop the timers of finished requests from the whole queue, not from its front alone

Callers saw: one client that sends small requests at full speed on one connection, each with a minute of time left, made a limiter of 32 MB use 46,824 kB after 40 s, still growing by 0.4 MB a second.

Cause: the timers of a request stay queued until its deadline, up to 60 s, since a timer that is needed is always in front of them and only the front is searched for stale ones.

Change: when the queue holds more than 1,024 timers and twice as many as were needed when that was last done, all stale ones are dropped.

--- a/limiter/src/engine/dispatch.rs
+++ b/limiter/src/engine/dispatch.rs
@@ -20,7 +20,7 @@
         self.handle_queued_events(state);
     }
 
-    /// Handles queued events until none is left, and drops stale timers from the front of the timer queue.
+    /// Handles queued events until none is left, and drops stale timers.
     pub(super) fn handle_queued_events(self: &Rc<Self>, state: &mut State) {
         while let Some(event) = state.events.pop_front() {
             let mut actions = std::mem::take(&mut state.actions);
@@ -38,7 +38,7 @@
 }
 
 impl State {
-    /// Drops stale timers from the front of the timer queue, and returns whether any was dropped.
+    /// Drops stale timers as [`TimerQueue::drop_stale`](super::timer_queue::TimerQueue::drop_stale) does, and returns whether any was dropped.
     fn drop_stale_timers(&mut self) -> bool {
         let State { limiter, timers, pending, .. } = self;
         timers.drop_stale(|kind| match kind {
--- a/limiter/src/engine/timer_queue.rs
+++ b/limiter/src/engine/timer_queue.rs
@@ -34,6 +34,9 @@
 /// was queued.
 const NO_WAKE_UP: u64 = u64::MAX;
 
+/// Number of timers up to which stale timers behind the front of the queue are not searched for.
+const MIN_COMPACTED_TIMERS: usize = 1024;
+
 /// A timer in the queue; ordered by time, then by kind.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct QueuedTimer {
@@ -46,6 +49,9 @@
 /// for them wakes up.
 pub struct TimerQueue {
     timers: BinaryHeap<Reverse<QueuedTimer>>,
+    /// Number of timers beyond which all stale timers are dropped: twice as many as were needed when that was
+    /// last done. The search therefore costs a constant time for each timer that is added.
+    max_timers: usize,
     /// The time at which the waiting task wakes up, in microseconds of the core's clock.
     wake_up_us: u64,
 }
@@ -53,7 +59,7 @@
 impl TimerQueue {
     /// Creates an empty queue.
     pub fn new() -> TimerQueue {
-        TimerQueue { timers: BinaryHeap::new(), wake_up_us: NO_WAKE_UP }
+        TimerQueue { timers: BinaryHeap::new(), max_timers: MIN_COMPACTED_TIMERS, wake_up_us: NO_WAKE_UP }
     }
 
     /// Adds a timer. Returns whether the timer fires before the waiting task wakes up.
@@ -78,14 +84,24 @@
         NextTimer::Due(kind)
     }
 
-    /// Drops stale timers from the front of the queue: those that are not needed any longer. Returns whether
-    /// any timer was dropped. Most requests finish long before their timeouts, and each stale timer would
-    /// wake up an idle process.
+    /// Drops stale timers, those that are not needed any longer, from the front of the queue, and from the
+    /// whole queue if it has grown long. Returns whether any timer was dropped.
+    ///
+    /// Most requests finish long before their timeouts. Each stale timer at the front would wake up an idle
+    /// process, and those behind it would occupy memory for as long as the longest timeout.
     pub fn drop_stale(&mut self, is_timer_needed: impl Fn(TimerKind) -> bool) -> bool {
         let num_before = self.timers.len();
+        if num_before > self.max_timers {
+            self.timers.retain(|Reverse(timer)| is_timer_needed(timer.kind));
+            self.timers.shrink_to(self.timers.len() * 2);
+            self.max_timers = MIN_COMPACTED_TIMERS.max(self.timers.len() * 2);
+        }
         while self.timers.peek().is_some_and(|Reverse(timer)| !is_timer_needed(timer.kind)) {
             self.timers.pop();
         }
         self.timers.len() < num_before
     }
 }
+
+#[cfg(test)]
+mod tests;
