Untangle the pairs of modules that used each other: upstream and request heads

Cause: upstream/servers.rs started attempts and provided their connections, so it and upstream/attempt.rs used each other; request/path.rs returned the error type of request/head.rs, which calls it.

The records that may be dropped early are structs instead of tuples. No text on the wire changes (pinned_heads.rs).

--- a/limiter-core/src/quota/owner/expiry.rs
+++ b/limiter-core/src/quota/owner/expiry.rs
@@ -19,6 +19,12 @@
 /// flood does not make every control step search for the decisions to drop.
 const DECISIONS_AFTER_DROP: usize = MAX_DECISIONS / 8 * 7;
 
+/// A decision that may be dropped early.
+struct DroppableDecision {
+    key: GrantKey,
+    decided_at: Millis,
+}
+
 impl OwnedQuotas {
     /// Expires grants, drops old decisions, and drops the quotas for which no quota request has arrived for
     /// their retention time, and others if there are too many.
@@ -39,12 +45,13 @@
             return;
         }
         let droppable = self.decisions.iter().filter(|(_, decision)| decision.may_be_dropped(context));
-        let mut droppable: Vec<(Millis, GrantKey)> =
-            droppable.map(|(key, decision)| (decision.decided_at, *key)).collect();
-        droppable.sort_unstable_by(|(one, _), (other, _)| one.total_cmp(other));
+        let mut droppable: Vec<DroppableDecision> = droppable
+            .map(|(key, decision)| DroppableDecision { key: *key, decided_at: decision.decided_at })
+            .collect();
+        droppable.sort_unstable_by(|one, other| one.decided_at.total_cmp(&other.decided_at));
         droppable.truncate(self.decisions.len() - DECISIONS_AFTER_DROP);
-        for (_, key) in &droppable {
-            self.drop_decision(*key);
+        for decision in &droppable {
+            self.drop_decision(decision.key);
         }
     }
 
--- a/limiter-core/src/quota/retention.rs
+++ b/limiter-core/src/quota/retention.rs
@@ -39,7 +39,14 @@
     pub last_used_at: Millis,
 }
 
+/// A quota that may be dropped.
+struct DropCandidate {
+    key: QuotaKey,
+    value: RecordValue,
+}
+
 impl RecordValue {
+    /// Orders records by what would be lost with them, the least first.
     fn compare(&self, other: &RecordValue) -> Ordering {
         let by_content = self.differs_from_new.cmp(&other.differs_from_new);
         by_content.then(self.last_used_at.total_cmp(&other.last_used_at))
@@ -56,10 +63,10 @@
         return;
     }
     let num_dropped = quotas.len() - QUOTAS_AFTER_DROP;
-    let mut ranked: Vec<(RecordValue, QuotaKey)> =
-        quotas.iter().map(|(key, quota)| (value(*key, quota), *key)).collect();
-    ranked.select_nth_unstable_by(num_dropped, |(one, _), (other, _)| one.compare(other));
-    for (_, key) in &ranked[..num_dropped] {
-        quotas.remove(key);
+    let mut candidates: Vec<DropCandidate> =
+        quotas.iter().map(|(key, quota)| DropCandidate { key: *key, value: value(*key, quota) }).collect();
+    candidates.select_nth_unstable_by(num_dropped, |one, other| one.value.compare(&other.value));
+    for candidate in &candidates[..num_dropped] {
+        quotas.remove(&candidate.key);
     }
 }
--- a/limiter/src/frontend/request/head.rs
+++ b/limiter/src/frontend/request/head.rs
@@ -5,7 +5,7 @@
 use hyper::{Method, StatusCode, Uri};
 use limiter_core::{Idempotency, Request};
 
-use super::path::RequestPath;
+use super::path::{RequestPath, RequestPathError};
 use super::weight::Weight;
 use crate::config::Config;
 use crate::messages::request::{CORRELATION_ID, IDEMPOTENCY_KEY, TIME_LEFT};
@@ -31,15 +31,9 @@
     /// One of [`UNIQUE_HEADERS`] occurs more than once.
     #[error("a header that may come once comes twice")]
     RepeatedHeader,
-    /// The path is not `/class/customer`.
-    #[error("no such path")]
-    UnknownPath,
-    /// The path names a class that the settings do not define.
-    #[error("unknown class")]
-    UnknownClass,
-    /// The second part of the path is not a customer id.
-    #[error("the customer is not 16 hex digits below 2^33")]
-    InvalidCustomer,
+    /// The path is invalid.
+    #[error(transparent)]
+    Path(#[from] RequestPathError),
     /// The method is not the one that the class requires: GET for idempotent classes, POST for all others.
     #[error("not this class's method")]
     WrongMethod,
@@ -68,11 +62,9 @@
     pub fn status(self) -> StatusCode {
         match self {
             RequestHeadError::LengthRequired => StatusCode::LENGTH_REQUIRED,
-            RequestHeadError::UnknownPath => StatusCode::NOT_FOUND,
+            RequestHeadError::Path(error) => error.status(),
             RequestHeadError::WrongMethod => StatusCode::METHOD_NOT_ALLOWED,
             RequestHeadError::RepeatedHeader
-            | RequestHeadError::UnknownClass
-            | RequestHeadError::InvalidCustomer
             | RequestHeadError::UnknownPlan
             | RequestHeadError::InvalidTimeLeft
             | RequestHeadError::InvalidWeight
--- a/limiter/src/frontend/request/path.rs
+++ b/limiter/src/frontend/request/path.rs
@@ -1,6 +1,7 @@
 //! The path of a request: `/class/customer`.
 
-use super::head::RequestHeadError;
+use hyper::StatusCode;
+
 use crate::config::Config;
 
 /// Length of a customer id in the path, in hexadecimal digits, as the protocol defines it.
@@ -8,6 +9,30 @@
 /// Customer ids are below this bound, as the protocol defines it.
 const CUSTOMER_ID_BOUND: u64 = 1 << 33;
 
+/// Why the path of a request is invalid. The message is the body of the response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum RequestPathError {
+    /// The path is not `/class/customer`.
+    #[error("no such path")]
+    UnknownPath,
+    /// The path names a class that the settings do not define.
+    #[error("unknown class")]
+    UnknownClass,
+    /// The second part of the path is not a customer id.
+    #[error("the customer is not 16 hex digits below 2^33")]
+    InvalidCustomer,
+}
+
+impl RequestPathError {
+    /// Returns the status of the response.
+    pub fn status(self) -> StatusCode {
+        match self {
+            RequestPathError::UnknownPath => StatusCode::NOT_FOUND,
+            RequestPathError::UnknownClass | RequestPathError::InvalidCustomer => StatusCode::BAD_REQUEST,
+        }
+    }
+}
+
 /// The class and the customer that a path names.
 pub struct RequestPath {
     /// Index of the class in the settings.
@@ -20,15 +45,14 @@
     /// Parses the path of a request.
     ///
     /// # Errors
-    /// [`RequestHeadError::UnknownPath`], [`RequestHeadError::UnknownClass`] or
-    /// [`RequestHeadError::InvalidCustomer`].
-    pub fn parse(path: &str, config: &Config) -> Result<RequestPath, RequestHeadError> {
+    /// [`RequestPathError`] if the path is not `/class/customer` with a known class and a valid customer.
+    pub fn parse(path: &str, config: &Config) -> Result<RequestPath, RequestPathError> {
         let mut parts = path.strip_prefix('/').unwrap_or_default().split('/');
         let (Some(class), Some(customer), None) = (parts.next(), parts.next(), parts.next()) else {
-            return Err(RequestHeadError::UnknownPath);
+            return Err(RequestPathError::UnknownPath);
         };
-        let class = config.names.class(class).map_err(|_| RequestHeadError::UnknownClass)?;
-        let customer = parse_customer(customer).ok_or(RequestHeadError::InvalidCustomer)?;
+        let class = config.names.class(class).map_err(|_| RequestPathError::UnknownClass)?;
+        let customer = parse_customer(customer).ok_or(RequestPathError::InvalidCustomer)?;
         Ok(RequestPath { class, customer })
     }
 }
--- a/limiter/src/upstream/servers.rs
+++ b/limiter/src/upstream/servers.rs
@@ -1,19 +1,16 @@
-//! Executes the attempts of the engine on pooled connections, and reports how each one ended.
+//! Provides connections to servers: pooled ones, and new ones within the limit.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use limiter_core::{Millis, Outcome, ServerId};
-use tokio::sync::oneshot;
+use limiter_core::{Millis, ServerId};
 
-use super::attempt::send_and_receive;
 use super::connection::{ConnectError, PooledConnection};
 use super::pool::ConnectionPool;
 use crate::config::Config;
-use crate::engine::{Engine, Upstream};
-use crate::messages::attempt::{AttemptId, AttemptJob};
+use crate::engine::Engine;
 use crate::observability::labels::ServerConnectionOutcome;
 use crate::observability::metrics::Metrics;
 use crate::runtime::duration;
@@ -25,7 +22,7 @@
 /// reused.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Executes attempts at servers, on pooled connections.
+/// The connections to all servers.
 pub struct Servers {
     pool: RefCell<ConnectionPool>,
     connect_timeout_ms: Millis,
@@ -85,46 +82,13 @@
     pub(super) fn put_idle(&self, server: &ServerId, connection: PooledConnection) {
         self.pool.borrow_mut().put_idle(server, connection);
     }
-}
-
-impl Upstream for Rc<Servers> {
-    fn start_attempt(&self, engine: &Rc<Engine>, job: AttemptJob, cancelled: oneshot::Receiver<Outcome>) {
-        tokio::task::spawn_local(run_attempt(self.clone(), engine.clone(), job, cancelled));
-    }
 
-    fn close_idle(&self, server: &ServerId) {
+    /// Closes the idle connections to a server.
+    pub(super) fn close_idle(&self, server: &ServerId) {
         self.pool.borrow_mut().close_idle(server);
     }
 }
 
-/// Executes one attempt, and reports its end to the engine exactly once.
-///
-/// The engine cancels the attempt by sending the outcome to report through `cancelled`. If both a
-/// cancellation and a response have arrived, the cancellation takes precedence, because the `select` is
-/// biased. The `select` drops the attempt, and with it the connection, before the end is reported and the
-/// engine may begin the next attempt: a request never has two attempts in flight. If the sender of
-/// `cancelled` is dropped without an outcome, the attempt continues.
-async fn run_attempt(
-    servers: Rc<Servers>,
-    engine: Rc<Engine>,
-    job: AttemptJob,
-    cancelled: oneshot::Receiver<Outcome>,
-) {
-    let result = tokio::select! {
-        biased;
-        Ok(outcome) = cancelled => outcome.into(),
-        result = send_and_receive(&servers, &engine, &job) => {
-            result.unwrap_or_else(|error| {
-                let AttemptId { request, number: attempt } = job.id;
-                let server = &job.server;
-                tracing::debug!(request, attempt, %server, %error, "attempt failed without response");
-                error.outcome().into()
-            })
-        }
-    };
-    engine.record_attempt_end(job.id, result);
-}
-
 /// Closes idle connections that have expired, at intervals of [`SWEEP_INTERVAL`]. Never returns. Cancelling
 /// only ends the sweeps.
 pub async fn close_expired_connections(servers: Rc<Servers>) {
