Test that a flood of one client neither delays others nor fills the memory

Cause: operators report clients that send small or invalid requests at full speed on one connection. Neither late answers nor growth were seen here for readiness requests, unknown paths and requests without time left; nothing in the suite held that.

--- a/limiter/tests/memory_limit.rs
+++ b/limiter/tests/memory_limit.rs
@@ -4,7 +4,7 @@
 
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread::{sleep, spawn};
 use std::time::Duration;
@@ -163,3 +163,60 @@
     let clients = (0..NUM_STALLED_CLIENTS).map(stalled).chain((0..NUM_PIPELINING_CLIENTS).map(pipelining));
     limiter.assert_memory_stays_below_limit(clients.collect());
 }
+
+/// Sends requests at full speed on one connection after another, each connection until the limiter ends it,
+/// and reads all that the limiter sends. `request` returns the request with a number.
+fn flood(addr: SocketAddr, is_ended: &AtomicBool, request: impl Fn(usize) -> String) {
+    const REQUESTS_PER_WRITE: usize = 50;
+    let mut number = 0;
+    while !is_ended.load(Ordering::SeqCst) {
+        let Ok(mut stream) = TcpStream::connect(addr) else { return };
+        let mut reader = stream.try_clone().expect("a clone of the stream");
+        let reading = spawn(move || std::io::copy(&mut reader, &mut std::io::sink()));
+        let mut is_open = true;
+        while is_open && !is_ended.load(Ordering::SeqCst) {
+            let requests: Vec<String> = (number..number + REQUESTS_PER_WRITE).map(&request).collect();
+            number += REQUESTS_PER_WRITE;
+            is_open = stream.write_all(requests.concat().as_bytes()).is_ok();
+        }
+        let _ = stream.shutdown(Shutdown::Both);
+        let _ = reading.join();
+    }
+}
+
+/// Guards against a client that keeps all others waiting, or fills the memory, because it sends small or
+/// invalid requests at full speed on one connection.
+#[test]
+fn a_flood_of_one_client_neither_delays_others_nor_fills_the_memory() {
+    const NUM_USUAL_REQUESTS: usize = 40;
+    let floods: [fn(usize) -> String; 3] = [
+        |_| READINESS_REQUEST.to_string(),
+        |_| "GET /nothing HTTP/1.1\r\nHost: x\r\n\r\n".to_string(),
+        // A new customer and a new id in each request, and no time left for it.
+        |number| {
+            idempotent_request_with_id(&format!("flood-{number}"))
+                .replace(DEFAULT_CUSTOMER, &format!("{number:016x}"))
+                .replace("Left: 3.0", "Left: 0")
+        },
+    ];
+    let server = StubServer::responding_with("fine");
+    let limiter = LimiterProcess::with_server(&server, |configuration| {
+        configuration.with_memory_mb(MEMORY_MB).with_long_latency_objective()
+    });
+    for request in floods {
+        let is_ended = Arc::new(AtomicBool::new(false));
+        let flooding = {
+            let addr = limiter.addr;
+            let is_ended = is_ended.clone();
+            spawn(move || flood(addr, &is_ended, request))
+        };
+        for number in 0..NUM_USUAL_REQUESTS {
+            let request = request_with_long_timeout(&format!("usual-{number}"));
+            assert_eq!(limiter.request(&request).body, "fine");
+        }
+        is_ended.store(true, Ordering::SeqCst);
+        flooding.join().expect("the end of the flood");
+    }
+    let memory_bytes = limiter.anonymous_memory_kib() * BYTES_PER_KIB;
+    assert!(memory_bytes < u64::from(MEMORY_MB) * BYTES_PER_MB, "{memory_bytes} bytes");
+}
