One type for the process of a server, and one step at a time in ending replaced ones

The function that found replaced servers also recorded starts.

Change: ServerProcess is the one type and is part of InstalledEndpoint; the installed servers at an address are found first, then recorded, then compared. The growth of a body's buffer is one clamp. No behaviour changes.

--- a/limiter/src/endpoints/entry.rs
+++ b/limiter/src/endpoints/entry.rs
@@ -1,4 +1,4 @@
-//! Reads a single entry of the endpoint list.
+//! Reads the entries of the endpoint list.
 
 use std::fmt;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
--- a/limiter/src/endpoints/mod.rs
+++ b/limiter/src/endpoints/mod.rs
@@ -1,6 +1,6 @@
 //! The endpoint list in discovery's JSON form, and its conversion into endpoints with addresses.
 //!
-//! [`entry`] reads a single entry of the list.
+//! [`entry`] reads the entries of the list.
 
 mod entry;
 
--- a/limiter/src/engine/endpoint_table.rs
+++ b/limiter/src/engine/endpoint_table.rs
@@ -13,22 +13,20 @@
 /// log queue.
 const MAX_LOGGED_CHANGES: usize = 64;
 
-/// One process of a server that accepts requests. A server that restarts is another process, also at the same
-/// address.
+/// One process of a server. A server that restarts is another process, also at the same address.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct ServingProcess {
+pub struct ServerProcess {
     /// The address on which the process listens.
     pub address: SocketAddr,
     /// When the process started, as announced in Unix milliseconds; 0 if that was long ago.
-    started_at: Millis,
+    pub started_at: Millis,
 }
 
 /// A server on the installed list.
 #[derive(Clone, Copy)]
 struct InstalledEndpoint {
-    address: SocketAddr,
+    process: ServerProcess,
     is_serving: bool,
-    started_at: Millis,
 }
 
 impl InstalledEndpoint {
@@ -39,23 +37,10 @@
     /// connections to a process that has been replaced must not be used, even if they look alive. A
     /// connection with an attempt in flight is checked when the attempt ends.
     fn has_stale_connections_after(&self, new: Option<&InstalledEndpoint>) -> bool {
-        !new.is_some_and(|new| {
-            new.is_serving && new.address == self.address && new.started_at == self.started_at
-        })
+        !new.is_some_and(|new| new.is_serving && new.process == self.process)
     }
 }
 
-/// A server on the installed list, with its process.
-#[derive(Clone, Copy)]
-pub struct InstalledProcess<'t> {
-    /// Id of the server.
-    pub server: &'t ServerId,
-    /// The address on which the process listens.
-    pub address: SocketAddr,
-    /// When the process started, as announced in Unix milliseconds; 0 if that was long ago.
-    pub started_at: Millis,
-}
-
 /// The servers on the installed list, by id.
 #[derive(Default)]
 pub struct EndpointTable {
@@ -66,18 +51,14 @@
 
 impl EndpointTable {
     /// Returns the process of a server, if the server is serving.
-    pub fn serving_process(&self, server: &ServerId) -> Option<ServingProcess> {
+    pub fn serving_process(&self, server: &ServerId) -> Option<ServerProcess> {
         let installed = self.endpoints.get(server).filter(|installed| installed.is_serving)?;
-        Some(ServingProcess { address: installed.address, started_at: installed.started_at })
+        Some(installed.process)
     }
 
-    /// Returns the processes of all installed servers.
-    pub fn processes(&self) -> impl Iterator<Item = InstalledProcess<'_>> {
-        self.endpoints.iter().map(|(server, installed)| InstalledProcess {
-            server,
-            address: installed.address,
-            started_at: installed.started_at,
-        })
+    /// Returns the processes of all installed servers, by the ids of the servers.
+    pub fn processes(&self) -> impl Iterator<Item = (&ServerId, ServerProcess)> {
+        self.endpoints.iter().map(|(server, installed)| (server, installed.process))
     }
 
     /// Returns whether any server is serving.
@@ -149,9 +130,8 @@
     match endpoint.state {
         EndpointState::Removed => None,
         EndpointState::Serving | EndpointState::Draining => Some(InstalledEndpoint {
-            address,
+            process: ServerProcess { address, started_at: endpoint.started_at },
             is_serving: endpoint.state == EndpointState::Serving,
-            started_at: endpoint.started_at,
         }),
     }
 }
@@ -159,7 +139,9 @@
 /// Returns whether a server appeared, was removed, or changed its address or state.
 fn has_changed(old: Option<InstalledEndpoint>, new: Option<InstalledEndpoint>) -> bool {
     match (old, new) {
-        (Some(old), Some(new)) => old.is_serving != new.is_serving || old.address != new.address,
+        (Some(old), Some(new)) => {
+            old.is_serving != new.is_serving || old.process.address != new.process.address
+        }
         (None, None) => false,
         _ => true,
     }
--- a/limiter/src/engine/endpoint_updates.rs
+++ b/limiter/src/engine/endpoint_updates.rs
@@ -81,7 +81,8 @@
         self.apply_endpoints(list, |endpoints| Event::EndpointsConfigured { endpoints });
     }
 
-    /// Installs an update in the endpoint table without the servers that others have replaced, and passes its servers to the core as an event.
+    /// Installs an update in the endpoint table without the servers that others have replaced, and passes its
+    /// servers to the core as an event.
     fn apply_endpoints(
         self: &Rc<Self>,
         mut update: EndpointUpdate,
--- a/limiter/src/engine/mod.rs
+++ b/limiter/src/engine/mod.rs
@@ -51,7 +51,7 @@
 use abandoned_ids::AbandonedIds;
 use clock::Clock;
 use endpoint_table::EndpointTable;
-pub use endpoint_table::ServingProcess;
+pub use endpoint_table::ServerProcess;
 use pending::PendingRequests;
 pub use pending_response::PendingResponse;
 pub use ports::{ClientConnection, ClientPresence, GossipTransport, Upstream};
@@ -158,7 +158,7 @@
     }
 
     /// Returns the process of a server, if the server is serving.
-    pub fn serving_process(&self, server: &ServerId) -> Option<ServingProcess> {
+    pub fn serving_process(&self, server: &ServerId) -> Option<ServerProcess> {
         self.state.borrow().endpoints.serving_process(server)
     }
 
--- a/limiter/src/engine/replaced_servers.rs
+++ b/limiter/src/engine/replaced_servers.rs
@@ -9,7 +9,7 @@
 
 use limiter_core::{Endpoint, EndpointState, Millis, ServerId};
 
-use super::endpoint_table::{EndpointTable, InstalledProcess};
+use super::endpoint_table::{EndpointTable, ServerProcess};
 use crate::endpoints::{EndpointUpdate, ResolvedEndpoint};
 
 /// The latest start that is announced for each address, in Unix milliseconds.
@@ -23,62 +23,56 @@
         update.endpoints.retain(|listed| !is_replaced(listed, &latest));
         return;
     }
-    let replaced = replaced_by_update(update, installed, &mut latest);
-    for listed in &mut update.endpoints {
-        if is_replaced(listed, &latest) {
-            listed.endpoint.state = EndpointState::Removed;
-        }
+    let unchanged = unchanged_servers(update, installed, &latest);
+    for (_, process) in &unchanged {
+        record_start(&mut latest, *process);
     }
-    update.endpoints.extend(replaced);
+    for listed in update.endpoints.iter_mut().filter(|listed| is_replaced(listed, &latest)) {
+        listed.endpoint.state = EndpointState::Removed;
+    }
+    let replaced = unchanged.into_iter().filter(|(_, process)| process.started_at < latest[&process.address]);
+    update.endpoints.extend(replaced.map(|(server, process)| removal(server, process)));
 }
 
 /// Returns the latest start at each address at which the update lists a process.
 fn latest_starts(update: &EndpointUpdate) -> LatestStarts {
     let mut latest = LatestStarts::new();
     for listed in update.endpoints.iter().filter(|listed| has_process(listed)) {
-        let start = latest.entry(listed.address).or_insert(listed.endpoint.started_at);
-        *start = start.max(listed.endpoint.started_at);
+        let ResolvedEndpoint { endpoint, address } = listed;
+        record_start(&mut latest, ServerProcess { address: *address, started_at: endpoint.started_at });
     }
     latest
 }
 
-/// Returns the removals of the installed servers that processes on a list of changes have replaced. Records
-/// the starts of all other installed servers at the same addresses.
-fn replaced_by_update(
-    update: &EndpointUpdate,
+/// Records the start of a process, if none that started later is recorded for its address.
+fn record_start(latest: &mut LatestStarts, process: ServerProcess) {
+    let start = latest.entry(process.address).or_insert(process.started_at);
+    *start = start.max(process.started_at);
+}
+
+/// Returns the installed servers that a list of changes does not name and whose addresses are among those of
+/// `latest`.
+fn unchanged_servers(
+    changes: &EndpointUpdate,
     installed: &EndpointTable,
-    latest: &mut LatestStarts,
-) -> Vec<ResolvedEndpoint> {
+    latest: &LatestStarts,
+) -> Vec<(ServerId, ServerProcess)> {
     if latest.is_empty() {
         return Vec::new();
     }
-    let is_listed =
-        |server: &ServerId| update.endpoints.iter().any(|listed| listed.endpoint.server == *server);
-    let mut replaced = Vec::new();
-    for process in installed.processes() {
-        let Some(start) = latest.get_mut(&process.address) else { continue };
-        if is_listed(process.server) {
-            continue;
-        }
-        if process.started_at < *start {
-            replaced.push(removal(process));
-        }
-        *start = start.max(process.started_at);
-    }
-    replaced
+    let is_changed =
+        |server: &ServerId| changes.endpoints.iter().any(|listed| listed.endpoint.server == *server);
+    let at_addresses = installed.processes().filter(|(_, process)| latest.contains_key(&process.address));
+    let unchanged = at_addresses.filter(|(server, _)| !is_changed(server));
+    unchanged.map(|(server, process)| (server.clone(), process)).collect()
 }
 
 /// Returns the removal of an installed server.
-fn removal(process: InstalledProcess) -> ResolvedEndpoint {
-    let endpoint = Endpoint {
-        server: process.server.clone(),
-        zone: 0,
-        cell: 0,
-        state: EndpointState::Removed,
-        weight: 0.0,
-        started_at: process.started_at,
-    };
-    ResolvedEndpoint { endpoint, address: process.address }
+fn removal(server: ServerId, process: ServerProcess) -> ResolvedEndpoint {
+    let ServerProcess { address, started_at } = process;
+    let state = EndpointState::Removed;
+    let endpoint = Endpoint { server, zone: 0, cell: 0, state, weight: 0.0, started_at };
+    ResolvedEndpoint { endpoint, address }
 }
 
 /// Returns whether a later process is announced at the address of a listed server.
--- a/limiter/src/messages/body.rs
+++ b/limiter/src/messages/body.rs
@@ -59,7 +59,7 @@
     if length <= received.capacity() {
         return;
     }
-    let doubled = received.capacity().max(INITIAL_CAPACITY / 2) * 2;
-    let capacity = length.max(doubled).min(MAX_BODY_BYTES);
+    let doubled = (received.capacity() * 2).max(INITIAL_CAPACITY);
+    let capacity = doubled.clamp(length, MAX_BODY_BYTES);
     received.reserve_exact(capacity - received.len());
 }
--- a/limiter/src/upstream/attempt.rs
+++ b/limiter/src/upstream/attempt.rs
@@ -14,7 +14,7 @@
 use super::connection::{ConnectError, RequestSender};
 use super::response::ServerResponse;
 use super::servers::Servers;
-use crate::engine::{Engine, ServingProcess};
+use crate::engine::{Engine, ServerProcess};
 use crate::messages::attempt::{AttemptJob, AttemptResult};
 use crate::messages::body::{read_body, BodyError};
 use crate::messages::request::{CORRELATION_ID, IDEMPOTENCY_KEY, TIME_LEFT};
@@ -107,7 +107,7 @@
 async fn check_still_allowed(
     engine: &Rc<Engine>,
     job: &AttemptJob,
-    process: ServingProcess,
+    process: ServerProcess,
 ) -> Result<(), AttemptError> {
     let is_client_waiting = engine.is_client_waiting(job.id.request).await;
     let now = engine.now();
