Let members and owners expire their quotas by one function

Cause: both called the retention and the drop of excess quotas with the same two statements, and each built the value of a record with the same closure. The memory tests computed the limit twice.

Change: RetainedQuota says what the two kinds of record have in common, and expire_quotas serves both. The floods of the memory test are a constant, and the limit is asserted in one function. No behaviour, bound or assertion changes.

--- a/limiter-core/src/quota/member/mod.rs
+++ b/limiter-core/src/quota/member/mod.rs
@@ -13,7 +13,7 @@
 use std::collections::BTreeMap;
 
 use super::keys::QuotaKey;
-use super::retention::{drop_excess_quotas, retention_ms, RecordValue};
+use super::retention::{expire_quotas, RetainedQuota};
 use crate::context::Context;
 use crate::event::{Millis, Request};
 use crate::gossip::{GrantReply, QuotaRequest};
@@ -61,11 +61,7 @@
     /// Drops the quotas of customers that have not sent a request for their retention time, and others if
     /// there are too many.
     pub fn expire(&mut self, context: &Context) {
-        self.quotas.retain(|key, quota| context.now - quota.last_used_at < retention_ms(context, *key));
-        drop_excess_quotas(&mut self.quotas, |key, quota| RecordValue {
-            differs_from_new: quota.differs_from_new(context.now, &context.settings.plans[key.plan]),
-            last_used_at: quota.last_used_at,
-        });
+        expire_quotas(&mut self.quotas, context);
     }
 
     /// Returns the quota request for the units of a request. Includes the units that the member has shed
@@ -126,14 +122,6 @@
         }
     }
 
-    /// Returns whether the quota would be treated differently if it were new: a part of the even share is
-    /// spent, units are to be reported, or requests may be shed.
-    fn differs_from_new(&self, now: Millis, plan: &Plan) -> bool {
-        let is_shedding = self.has_valid_reply(now) && self.demand_ratio > 1.0;
-        let has_spent_share = !self.is_even_share_full(now, plan);
-        has_spent_share || is_shedding || self.unreported_units > 0.0
-    }
-
     /// Returns whether an owner has ever replied about this quota.
     fn has_reply(&self) -> bool {
         self.last_reply_at > f64::NEG_INFINITY
@@ -144,3 +132,17 @@
         now - self.last_reply_at <= REPLY_VALIDITY_MS
     }
 }
+
+impl RetainedQuota for MemberQuota {
+    fn last_used_at(&self) -> Millis {
+        self.last_used_at
+    }
+
+    /// A quota differs from a new one if a part of the even share is spent, units are to be reported, or
+    /// requests may be shed.
+    fn differs_from_new(&self, now: Millis, plan: &Plan) -> bool {
+        let is_shedding = self.has_valid_reply(now) && self.demand_ratio > 1.0;
+        let has_spent_share = !self.is_even_share_full(now, plan);
+        has_spent_share || is_shedding || self.unreported_units > 0.0
+    }
+}
--- a/limiter-core/src/quota/owner/bucket.rs
+++ b/limiter-core/src/quota/owner/bucket.rs
@@ -6,6 +6,7 @@
 use crate::event::Millis;
 use crate::gossip::QuotaRequest;
 use crate::quota::placement::CEILING_FRACTIONS;
+use crate::quota::retention::RetainedQuota;
 use crate::settings::Plan;
 use crate::token_bucket::TokenBucket;
 
@@ -95,21 +96,6 @@
         self.ceiling_bucket.refill(now, plan.ceiling_rate * ceiling, ceiling_capacity);
     }
 
-    /// Returns whether the quota would be treated differently if it were new: units are spent or outstanding,
-    /// requests are in flight, or the demand is above the quota. A ceiling that is not full differs, although
-    /// a new one may be no fuller.
-    pub fn differs_from_new(&self, now: Millis, plan: &Plan) -> bool {
-        let OwnerFractions { rate_quota, ceiling } = self.fractions;
-        let mut refilled = *self;
-        refilled.refill(now, plan);
-        let has_spent_rate = refilled.rate_bucket.level < plan.burst * rate_quota;
-        let has_spent_ceiling =
-            plan.has_ceiling() && refilled.ceiling_bucket.level < plan.ceiling_burst * ceiling;
-        let has_requests_in_flight = plan.max_in_flight > 0 && self.in_flight > 0;
-        let is_open = has_requests_in_flight || self.outstanding_units > 0.0;
-        has_spent_rate || has_spent_ceiling || is_open || self.demand_ratio(now, plan) > 1.0
-    }
-
     /// Records the units of a quota request as demand, with those that the member has shed since its last
     /// reply.
     pub fn record_demand(&mut self, now: Millis, request: &QuotaRequest) {
@@ -132,3 +118,23 @@
         self.demand.rate(now) / quota
     }
 }
+
+impl RetainedQuota for OwnerQuota {
+    fn last_used_at(&self) -> Millis {
+        self.last_used_at
+    }
+
+    /// A quota differs from a new one if units are spent or outstanding, requests are in flight, or the demand
+    /// is above the quota. A ceiling that is not full differs, although a new one may be no fuller.
+    fn differs_from_new(&self, now: Millis, plan: &Plan) -> bool {
+        let OwnerFractions { rate_quota, ceiling } = self.fractions;
+        let mut refilled = *self;
+        refilled.refill(now, plan);
+        let has_spent_rate = refilled.rate_bucket.level < plan.burst * rate_quota;
+        let has_spent_ceiling =
+            plan.has_ceiling() && refilled.ceiling_bucket.level < plan.ceiling_burst * ceiling;
+        let has_requests_in_flight = plan.max_in_flight > 0 && self.in_flight > 0;
+        let is_open = has_requests_in_flight || self.outstanding_units > 0.0;
+        has_spent_rate || has_spent_ceiling || is_open || self.demand_ratio(now, plan) > 1.0
+    }
+}
--- a/limiter-core/src/quota/owner/expiry.rs
+++ b/limiter-core/src/quota/owner/expiry.rs
@@ -6,7 +6,7 @@
 use crate::context::Context;
 use crate::event::Millis;
 use crate::quota::keys::GrantKey;
-use crate::quota::retention::{drop_excess_quotas, retention_ms, RecordValue};
+use crate::quota::retention::expire_quotas;
 
 /// Shortest time in milliseconds for which an owner retains a decision; the longest latency objective applies
 /// if that is longer. After this time, a duplicate of the quota request is decided on anew, and a settlement
@@ -31,11 +31,7 @@
     pub fn expire(&mut self, context: &Context) {
         self.expire_decisions(context);
         self.drop_excess_decisions(context);
-        self.quotas.retain(|key, quota| context.now - quota.last_used_at < retention_ms(context, *key));
-        drop_excess_quotas(&mut self.quotas, |key, quota| RecordValue {
-            differs_from_new: quota.differs_from_new(context.now, &context.settings.plans[key.plan]),
-            last_used_at: quota.last_used_at,
-        });
+        expire_quotas(&mut self.quotas, context);
     }
 
     /// Drops the oldest of the decisions that may be dropped early, if there are more than [`MAX_DECISIONS`].
--- a/limiter-core/src/quota/retention.rs
+++ b/limiter-core/src/quota/retention.rs
@@ -6,6 +6,7 @@
 use super::keys::QuotaKey;
 use crate::context::Context;
 use crate::event::Millis;
+use crate::settings::Plan;
 
 /// Shortest retention of an unused quota in milliseconds.
 const IDLE_RETENTION_MS: Millis = 60_000.0;
@@ -23,50 +24,58 @@
 /// does not make every control step search for the quotas to drop.
 const QUOTAS_AFTER_DROP: usize = MAX_QUOTAS / 8 * 7;
 
+/// A record of a quota that is dropped when it has not been used for long, or when there are too many.
+pub(super) trait RetainedQuota {
+    /// Returns the time of the last use.
+    fn last_used_at(&self) -> Millis;
+
+    /// Returns whether the quota would be treated differently if it were new. If not, nothing is lost with
+    /// the record.
+    fn differs_from_new(&self, now: Millis, plan: &Plan) -> bool;
+}
+
+/// Drops the quotas that have not been used for their retention time, and others if there are too many.
+pub(super) fn expire_quotas<Q: RetainedQuota>(quotas: &mut BTreeMap<QuotaKey, Q>, context: &Context) {
+    quotas.retain(|key, quota| context.now - quota.last_used_at() < retention_ms(context, *key));
+    if quotas.len() > MAX_QUOTAS {
+        drop_quotas(quotas, quotas.len() - QUOTAS_AFTER_DROP, context);
+    }
+}
+
 /// Returns how long a quota is retained after its last use.
-pub(super) fn retention_ms(context: &Context, key: QuotaKey) -> Millis {
+fn retention_ms(context: &Context, key: QuotaKey) -> Millis {
     let refill_ms = context.settings.plans[key.plan].refill_ms();
     IDLE_RETENTION_MS.max(REFILL_RETENTION_FACTOR * refill_ms)
 }
 
-/// What would be lost with the record of a quota.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct RecordValue {
-    /// Whether the record differs from that of a customer who is seen for the first time. If not, nothing is
-    /// lost with the record.
-    pub differs_from_new: bool,
-    /// Time of the last use.
-    pub last_used_at: Millis,
+/// Drops this number of quotas: first those whose record is like a new one, then those that have not been
+/// used for longest.
+fn drop_quotas<Q: RetainedQuota>(quotas: &mut BTreeMap<QuotaKey, Q>, num_dropped: usize, context: &Context) {
+    let mut candidates: Vec<DropCandidate> =
+        quotas.iter().map(|(key, quota)| DropCandidate::new(*key, quota, context)).collect();
+    candidates.select_nth_unstable_by(num_dropped, DropCandidate::compare);
+    for candidate in &candidates[..num_dropped] {
+        quotas.remove(&candidate.key);
+    }
 }
 
-/// A quota that may be dropped.
+/// A quota that may be dropped, with what would be lost with its record.
 struct DropCandidate {
     key: QuotaKey,
-    value: RecordValue,
+    differs_from_new: bool,
+    last_used_at: Millis,
 }
 
-impl RecordValue {
-    /// Orders records by what would be lost with them, the least first.
-    fn compare(&self, other: &RecordValue) -> Ordering {
-        let by_content = self.differs_from_new.cmp(&other.differs_from_new);
-        by_content.then(self.last_used_at.total_cmp(&other.last_used_at))
+impl DropCandidate {
+    fn new(key: QuotaKey, quota: &impl RetainedQuota, context: &Context) -> DropCandidate {
+        let plan = &context.settings.plans[key.plan];
+        let differs_from_new = quota.differs_from_new(context.now, plan);
+        DropCandidate { key, differs_from_new, last_used_at: quota.last_used_at() }
     }
-}
 
-/// Drops quotas if there are more than [`MAX_QUOTAS`]: first those whose record is like a new one, then those
-/// that have not been used for longest.
-pub(super) fn drop_excess_quotas<Q>(
-    quotas: &mut BTreeMap<QuotaKey, Q>,
-    value: impl Fn(QuotaKey, &Q) -> RecordValue,
-) {
-    if quotas.len() <= MAX_QUOTAS {
-        return;
-    }
-    let num_dropped = quotas.len() - QUOTAS_AFTER_DROP;
-    let mut candidates: Vec<DropCandidate> =
-        quotas.iter().map(|(key, quota)| DropCandidate { key: *key, value: value(*key, quota) }).collect();
-    candidates.select_nth_unstable_by(num_dropped, |one, other| one.value.compare(&other.value));
-    for candidate in &candidates[..num_dropped] {
-        quotas.remove(&candidate.key);
+    /// Orders quotas by what would be lost with them, the least first.
+    fn compare(&self, other: &DropCandidate) -> Ordering {
+        let by_content = self.differs_from_new.cmp(&other.differs_from_new);
+        by_content.then(self.last_used_at.total_cmp(&other.last_used_at))
     }
 }
--- a/limiter/tests/memory_limit.rs
+++ b/limiter/tests/memory_limit.rs
@@ -61,12 +61,16 @@
             peak_kib = peak_kib.max(self.process.anonymous_memory_kib());
             sleep(MEASUREMENT_INTERVAL);
         }
-        let peak_bytes = peak_kib * BYTES_PER_KIB;
-        let limit_bytes = u64::from(MEMORY_MB) * BYTES_PER_MB;
-        assert!(peak_bytes < limit_bytes, "{peak_bytes} bytes of {limit_bytes}");
+        assert_is_below_limit(peak_kib);
     }
 }
 
+fn assert_is_below_limit(memory_kib: u64) {
+    let memory_bytes = memory_kib * BYTES_PER_KIB;
+    let limit_bytes = u64::from(MEMORY_MB) * BYTES_PER_MB;
+    assert!(memory_bytes < limit_bytes, "{memory_bytes} bytes of {limit_bytes}");
+}
+
 /// What a client does at the address of the limiter.
 type Client = Box<dyn FnOnce(SocketAddr) + Send>;
 
@@ -184,26 +188,28 @@
     }
 }
 
+/// What the client of a flood sends, by the number of the request.
+const FLOODS: [fn(usize) -> String; 3] = [
+    |_| READINESS_REQUEST.to_string(),
+    |_| "GET /nothing HTTP/1.1\r\nHost: x\r\n\r\n".to_string(),
+    // A new customer and a new id in each request, and no time left for it.
+    |number| {
+        idempotent_request_with_id(&format!("flood-{number}"))
+            .replace(DEFAULT_CUSTOMER, &format!("{number:016x}"))
+            .replace("Left: 3.0", "Left: 0")
+    },
+];
+
 /// Guards against a client that keeps all others waiting, or fills the memory, because it sends small or
 /// invalid requests at full speed on one connection.
 #[test]
 fn a_flood_of_one_client_neither_delays_others_nor_fills_the_memory() {
     const NUM_USUAL_REQUESTS: usize = 40;
-    let floods: [fn(usize) -> String; 3] = [
-        |_| READINESS_REQUEST.to_string(),
-        |_| "GET /nothing HTTP/1.1\r\nHost: x\r\n\r\n".to_string(),
-        // A new customer and a new id in each request, and no time left for it.
-        |number| {
-            idempotent_request_with_id(&format!("flood-{number}"))
-                .replace(DEFAULT_CUSTOMER, &format!("{number:016x}"))
-                .replace("Left: 3.0", "Left: 0")
-        },
-    ];
     let server = StubServer::responding_with("fine");
     let limiter = LimiterProcess::with_server(&server, |configuration| {
         configuration.with_memory_mb(MEMORY_MB).with_long_latency_objective()
     });
-    for request in floods {
+    for request in FLOODS {
         let is_ended = Arc::new(AtomicBool::new(false));
         let flooding = {
             let addr = limiter.addr;
@@ -217,6 +223,5 @@
         is_ended.store(true, Ordering::SeqCst);
         flooding.join().expect("the end of the flood");
     }
-    let memory_bytes = limiter.anonymous_memory_kib() * BYTES_PER_KIB;
-    assert!(memory_bytes < u64::from(MEMORY_MB) * BYTES_PER_MB, "{memory_bytes} bytes");
+    assert_is_below_limit(limiter.anonymous_memory_kib());
 }
