--- a/limiter-core/src/quota/owner/bucket.rs
+++ b/limiter-core/src/quota/owner/bucket.rs
@@ -124,8 +124,8 @@
         self.last_used_at
     }
 
-    /// A quota differs from a new one if units are spent or outstanding, requests are in flight, or the demand
-    /// is above the quota. A ceiling that is not full differs, although a new one may be no fuller.
+    /// A quota differs from a new one if units are spent or outstanding, requests are in flight, or the
+    /// demand is above the quota. A ceiling that is not full differs, although a new one may be no fuller.
     fn differs_from_new(&self, now: Millis, plan: &Plan) -> bool {
         let OwnerFractions { rate_quota, ceiling } = self.fractions;
         let mut refilled = *self;
--- a/limiter/src/engine/dispatch.rs
+++ b/limiter/src/engine/dispatch.rs
@@ -38,8 +38,7 @@
 }
 
 impl State {
-    /// Drops stale timers, see [`TimerQueue::drop_stale`](super::timer_queue::TimerQueue::drop_stale). Returns
-    /// whether any was dropped.
+    /// Drops stale timers, as `TimerQueue::drop_stale` describes. Returns whether any was dropped.
     fn drop_stale_timers(&mut self) -> bool {
         let State { limiter, timers, pending, .. } = self;
         timers.drop_stale(|kind| match kind {
--- a/limiter/src/frontend/read_ahead/stream.rs
+++ b/limiter/src/frontend/read_ahead/stream.rs
@@ -16,9 +16,9 @@
 /// The byte stream of a client, which gives hyper one request at a time.
 ///
 /// Yields first the bytes that were read ahead, and then those in the socket. Yields no byte of a request
-/// until the response to the previous request is written: a connection never holds two responses. Records in the [`ConnectionState`] when bytes are
-/// read, because hyper reports a request only once its head is complete. Also records there when all
-/// responses have been written.
+/// until the response to the previous request is written: a connection never holds two responses. Records in
+/// the [`ConnectionState`] when bytes are read, because hyper reports a request only once its head is
+/// complete. Also records there when all responses have been written.
 pub struct ReadAheadStream {
     read_ahead: Rc<RefCell<ReadAhead>>,
     state: Rc<ConnectionState>,
