--- a/limiter/src/config/limits.rs
+++ b/limiter/src/config/limits.rs
@@ -7,7 +7,7 @@
 ///
 /// | connection | share of all | holds at most, in KiB |
 /// | --- | --- | --- |
-/// | client with an open request | 1/2 | body 64, response 64, read ahead 16, head and read buffer 32, task 8 |
+/// | client with an open request | 1/2 | body 64, response 64, read ahead 16, head and buffer 32, task 8 |
 /// | other client | 1/12 | the same without a response |
 /// | server | 1/3 | read buffer 16, task 8 |
 ///
